--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+
+.PHONY: setup demo test lint format measure slopes model
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	python3.11 -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: setup
+	$(PY) -m bench.demo
+
+test: setup
+	$(PY) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+measure: setup
+	$(PY) -m bench.measure
+
+slopes: setup
+	$(PY) -m bench.slopes
+
+model: setup
+	$(PY) -m bench.model
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, load and measurement scripts; they start stand-ins and daemons as processes."""
--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,418 @@
+"""A deployment of stand-ins and daemons on loopback."""
+
+import json
+import socket
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pymysql
+import zmq
+from mysql_mimic.auth import NativePasswordAuthPlugin
+
+from bench.processes import Process
+
+CALLER_USER = "advisor"
+CALLER_PASSWORD = "advisor-password"
+BACKEND_PASSWORD = "backend"
+ADMIN_TOKEN = "operator-token-0123456789"
+READY_LIMIT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Sizes of a deployment.
+
+    Attributes:
+        nodes_by_domain: Entry VMs in each failure domain.
+    """
+
+    name: str
+    nodes_by_domain: dict[str, int]
+    groups: int
+    servers_per_group: int
+    slots: int
+    connections: int
+    lag_ms: float = 10.0
+    service_ms: float = 0.0
+    rules: str = ""
+
+    @property
+    def domains(self) -> list[str]:
+        """Names of the failure domains."""
+        return list(self.nodes_by_domain)
+
+    @property
+    def seats(self) -> int:
+        """Number of entry VMs."""
+        return sum(self.nodes_by_domain.values())
+
+
+DEMO = Shape("demo", {"zone-a": 1, "zone-b": 1}, 1, 3, 5, 35)
+SUBSIDIEWIJZER = Shape(
+    "subsidiewijzer", {"zone-a": 2, "zone-b": 2, "zone-c": 1}, 3, 3, 5, 35
+)
+SENALVIAL = Shape("senalvial", {"z1": 2, "z2": 1, "z3": 1, "z4": 1}, 3, 3, 2, 30)
+
+
+@dataclass
+class Cluster:
+    """Running processes of one deployment."""
+
+    shape: Shape
+    folder: Path
+    platform: Process | None = None
+    platform_port: int = 0
+    servers_by_id: dict[str, Process] = field(default_factory=dict)
+    server_ports: dict[str, int] = field(default_factory=dict)
+    nodes_by_id: dict[str, Process] = field(default_factory=dict)
+    caller_ports: dict[str, int] = field(default_factory=dict)
+    admin_ports: dict[str, int] = field(default_factory=dict)
+    domain_by_node: dict[str, str] = field(default_factory=dict)
+    domain_by_server: dict[str, str] = field(default_factory=dict)
+
+    # Starting and ending.
+
+    def start(self) -> None:
+        """Start everything and wait until every group accepts writes."""
+        self.platform = Process("platform", ["standins.platform"], self.folder)
+        self.platform_port = self.platform.read_port()
+        self._start_servers()
+        self._write_secrets()
+        self.store_inventory()
+        for domain, count in self.shape.nodes_by_domain.items():
+            for index in range(count):
+                self.start_node(f"node-{domain}-{index + 1}", domain)
+        self.set_vms()
+        self.wait_until_ready()
+
+    def _start_servers(self) -> None:
+        for group in range(1, self.shape.groups + 1):
+            for index in range(self.shape.servers_per_group):
+                server_id = f"group-{group}-{'abcdefgh'[index]}"
+                domains = self.shape.domains
+                domain = domains[(index + group - 1) % len(domains)]
+                self.domain_by_server[server_id] = domain
+                self.server_ports[server_id] = find_free_port()
+                self.servers_by_id[server_id] = Process(
+                    server_id, self._server_arguments(server_id), self.folder
+                )
+        for server in self.servers_by_id.values():
+            server.read_port()
+
+    def _server_arguments(self, server_id: str) -> list[str]:
+        shape = self.shape
+        return [
+            "standins.backend",
+            "--server-id",
+            server_id,
+            "--port",
+            str(self.server_ports[server_id]),
+            "--slots",
+            str(shape.slots),
+            "--connections",
+            str(shape.connections),
+            "--lag-ms",
+            str(shape.lag_ms),
+            "--service-ms",
+            str(shape.service_ms),
+        ]
+
+    def _write_secrets(self) -> None:
+        public, secret = zmq.curve_keypair()
+        hashed = NativePasswordAuthPlugin.create_auth_string(CALLER_PASSWORD)
+        files = {
+            "curve.ini": f"[curve]\npublic = {public.decode()}\n"
+            f"secret = {secret.decode()}\n",
+            "callers.ini": f"[callers]\n{CALLER_USER} = *{hashed}\nflood = *{hashed}\n",
+            "tokens.ini": f"[tokens]\noperator = {ADMIN_TOKEN} read, apply, audit\n",
+        }
+        for name, text in files.items():
+            (self.folder / name).write_text(text)
+
+    def inventory_text(self, extra: str = "") -> str:
+        """Return the deployment's inventory.
+
+        Args:
+            extra: More sections.
+
+        Returns:
+            INI text.
+        """
+        shape = self.shape
+        lines = [f"[rules]\nseats = {shape.seats}\n{shape.rules}\n"]
+        lines.extend(
+            f"[failure-domain {name}]\nregion = r1\n" for name in shape.domains
+        )
+        lines.append(f"[customer advisors]\nusers = {CALLER_USER}\n")
+        lines.append("[customer flooders]\nusers = flood\n")
+        lines.append("[read default]\nmax-age-ms = 10000\n")
+        for group in range(1, shape.groups + 1):
+            lines.append(
+                f"[group group-{group}]\ndatabase = db{group}\n"
+                "customers = advisors, flooders\n"
+            )
+        for server_id, port in self.server_ports.items():
+            lines.append(
+                f"[server {server_id}]\ngroup = {server_id[:-2]}\n"
+                f"address = 127.0.0.1:{port}\n"
+                f"failure-domain = {self.domain_by_server[server_id]}\n"
+                f"slots = {shape.slots}\nconnections = {shape.connections}\n"
+            )
+        return "\n".join(lines) + extra
+
+    def store_inventory(self) -> None:
+        """Put the first inventory into the platform."""
+        audit = {
+            "change_id": "first",
+            "at_s": 0,
+            "author": "bench",
+            "subject": "inventory",
+            "before": "",
+            "after": "version 1",
+            "cause": "start",
+        }
+        value = json.dumps({"source": self.inventory_text(), "audit": audit})
+        self.call_platform("PUT", "/objects/inventory", {"expected": 0, "value": value})
+
+    def start_node(self, node_id: str, domain: str) -> None:
+        """Start a daemon.
+
+        Args:
+            node_id: Its name.
+            domain: Its failure domain.
+        """
+        self.domain_by_node[node_id] = domain
+        ports = [find_free_port() for _ in range(3)]
+        self.caller_ports[node_id], peer_port, self.admin_ports[node_id] = ports
+        (self.folder / f"{node_id}.token").write_text(node_id)
+        (self.folder / f"{node_id}.backend.ini").write_text(
+            f"[backend]\nuser = {node_id}\npassword = {BACKEND_PASSWORD}\n"
+        )
+        settings = self.folder / f"{node_id}.ini"
+        settings.write_text(
+            f"[node]\nnode-id = {node_id}\nfailure-domain = {domain}\n"
+            f"[listen]\ncallers = 127.0.0.1:{ports[0]}\n"
+            f"peers = 127.0.0.1:{peer_port}\nadmin = 127.0.0.1:{ports[2]}\n"
+            f"[platform]\nurl = http://127.0.0.1:{self.platform_port}\n"
+            f"token-file = {node_id}.token\n"
+            f"[peers]\nkey-file = curve.ini\n"
+            f"[credentials]\ncallers-file = callers.ini\n"
+            f"backend-file = {node_id}.backend.ini\nadmin-tokens-file = tokens.ini\n"
+        )
+        self.nodes_by_id[node_id] = Process(
+            node_id,
+            ["pollencleat.daemon.main", "--settings", str(settings)],
+            self.folder,
+        )
+
+    def wait_until_ready(self) -> None:
+        """Wait until every node may write to every group and replicas serve."""
+        deadline_s = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline_s:
+            if all(self._is_ready(node_id) for node_id in self.nodes_by_id):
+                return
+            time.sleep(0.1)
+        raise RuntimeError(f"the deployment did not get ready; logs in {self.folder}")
+
+    def _is_ready(self, node_id: str) -> bool:
+        try:
+            status = self.call_admin(node_id, "/v1/status")
+        except OSError:
+            return False
+        if status["permit_basis"] == "none" or len(status["groups"]) == 0:
+            return False
+        if not all(member["may_promote"] for member in status["members"]):
+            return False
+        if len(status["members"]) != len(self.nodes_by_id):
+            return False
+        for group in status["groups"]:
+            roles = [server["role"] for server in group["servers"]]
+            if not group["primary"] or roles.count("replica") != len(roles) - 1:
+                return False
+        return True
+
+    def stop(self) -> None:
+        """End all processes."""
+        for process in (*self.nodes_by_id.values(), *self.servers_by_id.values()):
+            process.kill()
+        if self.platform is not None:
+            self.platform.kill()
+
+    # Calls.
+
+    def call_platform(self, method: str, path: str, body: dict | None = None) -> dict:
+        """Call the stand-in platform.
+
+        Args:
+            method: HTTP method.
+            path: Path.
+            body: JSON body.
+
+        Returns:
+            The decoded answer.
+        """
+        return call_json(
+            method, f"http://127.0.0.1:{self.platform_port}{path}", body, ""
+        )
+
+    def set_vms(self, leaving: tuple[str, ...] = ()) -> None:
+        """Tell the platform which VMs live and leave.
+
+        Args:
+            leaving: Nodes or servers.
+        """
+        live = [*self.nodes_by_id, *self.servers_by_id]
+        self.call_platform("POST", "/control", {"live": live, "leaving": list(leaving)})
+
+    def call_admin(self, node_id: str, path: str) -> dict:
+        """Call a node's administration API.
+
+        Args:
+            node_id: The node.
+            path: Path.
+
+        Returns:
+            The decoded answer.
+        """
+        url = f"http://127.0.0.1:{self.admin_ports[node_id]}{path}"
+        return call_json("GET", url, None, ADMIN_TOKEN)
+
+    def read_metrics(self, node_id: str) -> str:
+        """Scrape a node.
+
+        Args:
+            node_id: The node.
+
+        Returns:
+            Metrics in text form.
+        """
+        url = f"http://127.0.0.1:{self.admin_ports[node_id]}/metrics"
+        headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+        request = urllib.request.Request(url, headers=headers)
+        with urllib.request.urlopen(request, timeout=5) as response:
+            return response.read().decode()
+
+    def primary_of(self, group_id: str, node_id: str | None = None) -> str:
+        """Return a group's primary.
+
+        Args:
+            group_id: The group.
+            node_id: Whom to ask; any node if None.
+
+        Returns:
+            Server id.
+        """
+        node_id = node_id or next(iter(self.nodes_by_id))
+        for group in self.call_admin(node_id, "/v1/status")["groups"]:
+            if group["group_id"] == group_id:
+                return group["primary"]
+        raise RuntimeError(f"unknown group {group_id}")
+
+    def control_server(self, server_id: str, name: str, value: str) -> None:
+        """Set a fault of a stand-in server.
+
+        Args:
+            server_id: The server.
+            name: Name of the control.
+            value: Its value.
+        """
+        with self.connect_server(server_id) as connection:
+            connection.cursor().execute(f"CONTROL {name}={value}")
+
+    def connect_server(self, server_id: str, database: str = "") -> pymysql.Connection:
+        """Connect straight to a server, past the proxy.
+
+        Args:
+            server_id: The server.
+            database: Database name.
+
+        Returns:
+            A connection.
+        """
+        return pymysql.connect(
+            host="127.0.0.1",
+            port=self.server_ports[server_id],
+            user="bench",
+            password=BACKEND_PASSWORD,
+            database=database or None,
+            autocommit=True,
+        )
+
+    def connect(self, node_id: str, database: str = "db1") -> pymysql.Connection:
+        """Connect through a node as a caller.
+
+        Args:
+            node_id: The node.
+            database: Database name.
+
+        Returns:
+            A connection in autocommit mode.
+        """
+        return pymysql.connect(
+            host="127.0.0.1",
+            port=self.caller_ports[node_id],
+            user=CALLER_USER,
+            password=CALLER_PASSWORD,
+            database=database,
+            autocommit=True,
+            connect_timeout=5,
+        )
+
+
+def call_json(method: str, url: str, body: dict | None, token: str) -> dict:
+    """Make an HTTP call with JSON bodies.
+
+    Args:
+        method: HTTP method.
+        url: Where to.
+        body: Body, or None.
+        token: Bearer token, or empty.
+
+    Returns:
+        The decoded answer.
+    """
+    data = None if body is None else json.dumps(body).encode()
+    headers = {"Content-Type": "application/json"}
+    if token:
+        headers["Authorization"] = f"Bearer {token}"
+    request = urllib.request.Request(url, data, headers, method=method)
+    with urllib.request.urlopen(request, timeout=5) as response:
+        return json.loads(response.read())
+
+
+def find_free_port() -> int:
+    """Return a port that the system says is free.
+
+    Returns:
+        A port on loopback.
+    """
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class RunningCluster:
+    """Context manager around a deployment in a temporary folder."""
+
+    def __init__(self, shape: Shape) -> None:
+        """Keep the shape."""
+        self._shape = shape
+        self._folder = tempfile.TemporaryDirectory(prefix="pollencleat-")
+
+    def __enter__(self) -> Cluster:
+        """Start the deployment."""
+        self.cluster = Cluster(self._shape, Path(self._folder.name))
+        try:
+            self.cluster.start()
+        except BaseException:
+            self.cluster.stop()
+            raise
+        return self.cluster
+
+    def __exit__(self, *exception: object) -> None:
+        """End all processes and remove the folder."""
+        self.cluster.stop()
+        self._folder.cleanup()
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,107 @@
+"""Starting and ending processes of stand-ins and daemons."""
+
+import os
+import select
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+START_LIMIT_S = 15.0
+
+
+class Process:
+    """A child process that prints its port on its first line."""
+
+    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+        """Start it; its errors go to a file in the folder."""
+        self.name = name
+        self.arguments = arguments
+        self.log_path = folder / f"{name}.log"
+        self._folder = folder
+        self._popen: subprocess.Popen | None = None
+        self.start()
+
+    def start(self) -> None:
+        """Start it, or start it again after its end."""
+        with self.log_path.open("ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *self.arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                cwd=Path(__file__).parent.parent,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._popen.pid
+
+    def read_port(self) -> int:
+        """Return the port that the process printed.
+
+        Returns:
+            The port.
+        """
+        deadline_s = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < deadline_s:
+            ready, _, _ = select.select([self._popen.stdout], [], [], 0.1)
+            if not ready:
+                continue
+            line = self._popen.stdout.readline().decode()
+            if line.startswith("port "):
+                return int(line.split()[1])
+            if not line:
+                break
+        raise RuntimeError(f"{self.name} did not start; see {self.log_path}")
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal.
+
+        Args:
+            number: Signal number.
+        """
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
+        self._popen.wait()
+
+    def terminate(self, limit_s: float = 10.0) -> int:
+        """Ask it to stop and wait.
+
+        Args:
+            limit_s: After this time it is killed.
+
+        Returns:
+            Exit code.
+        """
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            return self._popen.wait(limit_s)
+        except subprocess.TimeoutExpired:
+            self._popen.kill()
+            return self._popen.wait()
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far.
+
+        Returns:
+            User and system time in seconds.
+        """
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Return the resident memory.
+
+        Returns:
+            Bytes.
+        """
+        pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE")
--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,19 @@
+"""Settings of the test run: fixed seeds, printed, and no wall-clock bounds."""
+
+from hypothesis import settings
+
+SEED = 20261204
+
+settings.register_profile(
+    "ci", derandomize=True, deadline=None, print_blob=True, max_examples=60
+)
+settings.load_profile("ci")
+
+
+def pytest_report_header() -> str:
+    """Return the line that names the seed.
+
+    Returns:
+        The header line.
+    """
+    return f"hypothesis: derandomized; seeded generators use {SEED}"
--- /dev/null
+++ b/pollencleat/__init__.py
@@ -0,0 +1,1 @@
+"""A database proxy with session consistency."""
--- /dev/null
+++ b/pollencleat/administration/routes.py
@@ -0,0 +1,275 @@
+"""The operations of the administration API.
+
+A registry maps method and path to the operation, its role and its description; the
+server and the OpenAPI document are both made from it.
+"""
+
+import dataclasses
+import difflib
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+
+import pydantic
+from aiohttp import web
+
+from pollencleat.administration.models import ApplyBody, CheckBody, RollbackBody
+from pollencleat.core.errors import InventoryError
+from pollencleat.inventory.forecast import make_forecast
+from pollencleat.inventory.parser import parse_inventory
+from pollencleat.reports.status import explain_route, make_node_report
+from pollencleat.routing.reads import ReadRequest
+from pollencleat.store.changes import (
+    apply_inventory,
+    read_former_inventory,
+    read_history,
+)
+from pollencleat.store.objects import INVENTORY_NAME, decode_inventory
+
+if TYPE_CHECKING:
+    from pollencleat.daemon.application import Application
+
+Handler = Callable[["Application", web.Request, str], Awaitable[web.Response]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Operation:
+    """One operation of the API.
+
+    Attributes:
+        role: Role that a token needs; empty for none.
+        body: Model of the request body, or None.
+    """
+
+    method: str
+    path: str
+    role: str
+    summary: str
+    handler: Handler
+    body: type[pydantic.BaseModel] | None = None
+
+
+operations: list[Operation] = []
+
+
+def operation(
+    method: str,
+    path: str,
+    role: str,
+    summary: str,
+    body: type[pydantic.BaseModel] | None = None,
+) -> Callable[[Handler], Handler]:
+    """Register an operation.
+
+    Args:
+        method: HTTP method.
+        path: Path with ``{name}`` parameters.
+        role: Role that a token needs; empty for none.
+        summary: One line for the OpenAPI document.
+        body: Model of the request body.
+
+    Returns:
+        A decorator.
+    """
+
+    def register(handler: Handler) -> Handler:
+        operations.append(Operation(method, path, role, summary, handler, body))
+        return handler
+
+    return register
+
+
+def to_json(value: Any) -> web.Response:
+    """Return a response with a record as JSON.
+
+    Args:
+        value: A dataclass or plain value.
+
+    Returns:
+        The response.
+    """
+    body = pydantic.TypeAdapter(Any).dump_json(value)
+    return web.Response(body=body, content_type="application/json")
+
+
+@operation("GET", "/health", "", "Whether the process runs")
+async def _health(app: "Application", request: web.Request, author: str):
+    return to_json({"node": app.board.node_id, "draining": app.board.draining})
+
+
+@operation("GET", "/metrics", "read", "Metrics in text form for scrapers")
+async def _metrics(app: "Application", request: web.Request, author: str):
+    return web.Response(body=app.metrics.render(), content_type="text/plain")
+
+
+@operation("GET", "/v1/status", "read", "The node's view of members and groups")
+async def _status(app: "Application", request: web.Request, author: str):
+    return to_json(make_node_report(app.board, app.timers.clock()))
+
+
+@operation("GET", "/v1/connections", "read", "Open connections to backend servers")
+async def _connections(app: "Application", request: web.Request, author: str):
+    return to_json(
+        {
+            "node_id": app.board.node_id,
+            "open_by_server": app.gateway.open_connections(),
+        }
+    )
+
+
+@operation("GET", "/v1/explain", "read", "Why a read would go where")
+async def _explain(app: "Application", request: web.Request, author: str):
+    group_id = request.query.get("group", "")
+    if group_id not in app.board.inventory.groups_by_id:
+        raise web.HTTPNotFound(text=f"unknown group {group_id!r}")
+    try:
+        max_age_s = float(request.query.get("max_age_ms", "10000")) / 1000
+        floor = int(request.query.get("floor", "0"))
+    except ValueError as error:
+        raise web.HTTPBadRequest(text=f"not a number: {error}") from error
+    read = ReadRequest(group_id, floor, max_age_s)
+    return to_json(explain_route(app.board, read, app.timers.clock()))
+
+
+@operation("GET", "/v1/inventory", "read", "The inventory in force on the platform")
+async def _inventory(app: "Application", request: web.Request, author: str):
+    stored = await app.store.read_object(INVENTORY_NAME)
+    return _inventory_response(decode_inventory(stored))
+
+
+def _inventory_response(inventory) -> web.Response:
+    return to_json({"version": inventory.version, "text": inventory.source})
+
+
+@operation("GET", "/v1/inventory/versions/{version}", "read", "A former inventory")
+async def _former(app: "Application", request: web.Request, author: str):
+    version = request.match_info["version"]
+    if not version.isdecimal():
+        raise web.HTTPBadRequest(text="the version is not a number")
+    inventory = await read_former_inventory(app.store, int(version))
+    if inventory is None:
+        raise web.HTTPNotFound(text=f"version {version} is not kept")
+    return _inventory_response(inventory)
+
+
+@operation("POST", "/v1/inventory/check", "read", "Check an inventory", CheckBody)
+async def _check(app: "Application", request: web.Request, author: str):
+    body = CheckBody.model_validate_json(await request.read())
+    try:
+        inventory = parse_inventory(body.filename, body.text)
+    except InventoryError as error:
+        return to_json({"errors": [str(item) for item in error.errors]})
+    return to_json({"errors": [], "forecast": make_forecast(inventory)})
+
+
+@operation(
+    "POST", "/v1/inventory/diff", "read", "Compare with what is in force", CheckBody
+)
+async def _diff(app: "Application", request: web.Request, author: str):
+    body = CheckBody.model_validate_json(await request.read())
+    stored = await app.store.read_object(INVENTORY_NAME)
+    current = decode_inventory(stored)
+    return to_json(
+        {
+            "version": current.version,
+            "lines": diff_texts(current.source, body.text, current.version),
+        }
+    )
+
+
+def diff_texts(old: str, new: str, version: int) -> list[str]:
+    """Return a unified difference.
+
+    Args:
+        old: Text in force.
+        new: Proposed text.
+        version: Version in force.
+
+    Returns:
+        Lines without line ends.
+    """
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), f"version {version}", "new", lineterm=""
+    )
+    return list(lines)
+
+
+@operation("PUT", "/v1/inventory", "apply", "Apply an inventory", ApplyBody)
+async def _apply(app: "Application", request: web.Request, author: str):
+    body = ApplyBody.model_validate_json(await request.read())
+    accepted = await apply_inventory(
+        app.store,
+        body.text,
+        body.expected_version,
+        author,
+        body.cause,
+        body.change_id,
+    )
+    return to_json(accepted)
+
+
+@operation(
+    "POST", "/v1/inventory/rollback", "apply", "Return to a version", RollbackBody
+)
+async def _rollback(app: "Application", request: web.Request, author: str):
+    body = RollbackBody.model_validate_json(await request.read())
+    former = await read_former_inventory(app.store, body.to_version)
+    if former is None:
+        raise web.HTTPNotFound(text=f"version {body.to_version} is not kept")
+    cause = body.cause or f"rollback to version {body.to_version}"
+    accepted = await apply_inventory(
+        app.store, former.source, body.expected_version, author, cause
+    )
+    return to_json(accepted)
+
+
+@operation("GET", "/v1/audit", "audit", "Accepted changes and promotions")
+async def _audit(app: "Application", request: web.Request, author: str):
+    entries = [*await read_history(app.store), *app.board.fleet.audit]
+    entries.sort(key=lambda entry: entry.at_s)
+    for name in ("author", "subject", "change_id"):
+        wanted = request.query.get(name)
+        if wanted:
+            entries = [entry for entry in entries if wanted in getattr(entry, name)]
+    return to_json(entries)
+
+
+@operation("GET", "/v1/forecast", "read", "Next month's resources")
+async def _forecast(app: "Application", request: web.Request, author: str):
+    return to_json(make_forecast(app.board.inventory))
+
+
+@operation("GET", "/v1/openapi.json", "", "This document")
+async def _openapi(app: "Application", request: web.Request, author: str):
+    return to_json(make_openapi_document())
+
+
+def make_openapi_document() -> dict:
+    """Return the API's description.
+
+    Returns:
+        An OpenAPI 3.1 document.
+    """
+    paths: dict[str, dict] = {}
+    schemas: dict[str, dict] = {}
+    for item in operations:
+        described: dict = {
+            "summary": item.summary,
+            "responses": {"200": {"description": "Success"}},
+        }
+        if item.role:
+            described["security"] = [{"token": [item.role]}]
+        if item.body is not None:
+            name = item.body.__name__
+            schemas[name] = item.body.model_json_schema()
+            content = {"schema": {"$ref": f"#/components/schemas/{name}"}}
+            described["requestBody"] = {"content": {"application/json": content}}
+        paths.setdefault(item.path, {})[item.method.lower()] = described
+    return {
+        "openapi": "3.1.0",
+        "info": {"title": "pollencleat administration", "version": "1"},
+        "paths": paths,
+        "components": {
+            "schemas": schemas,
+            "securitySchemes": {"token": {"type": "http", "scheme": "bearer"}},
+        },
+    }
--- /dev/null
+++ b/pollencleat/administration/server.py
@@ -0,0 +1,107 @@
+"""Serves the administration API over HTTP or HTTPS."""
+
+import hmac
+from typing import TYPE_CHECKING
+
+import pydantic
+from aiohttp import web
+
+from pollencleat.administration.routes import Operation, operations
+from pollencleat.core.errors import (
+    AccessDeniedError,
+    InventoryError,
+    PollencleatError,
+    StoreConflictError,
+    StoreError,
+)
+
+if TYPE_CHECKING:
+    from pollencleat.daemon.application import Application
+
+MAX_BODY_BYTES = 2 * 1024 * 1024
+_status_by_error: list[tuple[type[Exception], int]] = [
+    (InventoryError, 422),
+    (StoreConflictError, 409),
+    (AccessDeniedError, 403),
+    (StoreError, 503),
+    (PollencleatError, 503),
+    (pydantic.ValidationError, 400),
+]
+
+
+class AdminServer:
+    """The HTTP server of one node."""
+
+    def __init__(self, application: "Application") -> None:
+        """Serve the given application."""
+        self._application = application
+        self._runner: web.AppRunner | None = None
+        self.address = ""
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Args:
+            host: Address.
+            port: Port, or 0 for one that the system chooses.
+        """
+        from pollencleat.daemon.application import make_tls_context
+
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        for item in operations:
+            app.router.add_route(item.method, item.path, self._make_handler(item))
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        context = make_tls_context(self._application.settings)
+        site = web.TCPSite(self._runner, host, port, ssl_context=context)
+        await site.start()
+        bound_host, bound_port = self._runner.addresses[0][:2]
+        scheme = "https" if context else "http"
+        self.address = f"{scheme}://{bound_host}:{bound_port}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _make_handler(self, item: Operation):
+        async def handle(request: web.Request) -> web.Response:
+            try:
+                author = self._authorize(request, item.role)
+                return await item.handler(self._application, request, author)
+            except web.HTTPException:
+                raise
+            except (PollencleatError, pydantic.ValidationError) as error:
+                return _make_error_response(error)
+
+        return handle
+
+    def _authorize(self, request: web.Request, role: str) -> str:
+        """Return the name of the token that a request carries."""
+        if not role:
+            return ""
+        given = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        author = None
+        allowed = False
+        for known in self._application.settings.admin_tokens:
+            # All tokens are compared, so that timing tells nothing.
+            if hmac.compare_digest(given.encode(), known.token.encode()):
+                author = known.name
+                allowed = role in known.roles
+        if author is None:
+            raise web.HTTPUnauthorized(text="unknown token")
+        if not allowed:
+            raise AccessDeniedError(f"token {author} lacks the role {role}")
+        return author
+
+
+def _make_error_response(error: Exception) -> web.Response:
+    status = 500
+    for error_type, code in _status_by_error:
+        if isinstance(error, error_type):
+            status = code
+            break
+    body = {"error": type(error).__name__, "detail": str(error)}
+    if isinstance(error, InventoryError):
+        body["errors"] = [str(item) for item in error.errors]
+    return web.json_response(body, status=status)
--- /dev/null
+++ b/pollencleat/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers."""
--- /dev/null
+++ b/pollencleat/backend/monitor.py
@@ -0,0 +1,132 @@
+"""One connection to a server for sampling its position and for commands to it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import asyncmy.errors
+
+from pollencleat.backend import operations
+from pollencleat.backend.connection import BackendConnection, open_connection
+from pollencleat.backend.pool import Credentials, is_broken
+from pollencleat.core.data import BackendServer, ServerStatus
+from pollencleat.core.errors import BackendError, BackendRefusedError
+
+ANSWER_LIMIT_S = 0.5
+"""How long a server may take to answer a command or a sample."""
+
+
+class ServerMonitor:
+    """Serializes the proxy's own statements to one server."""
+
+    def __init__(self, server: BackendServer, credentials: Credentials) -> None:
+        """Keep the address; connects on first use."""
+        self.server = server
+        self._credentials = credentials
+        self._connection: BackendConnection | None = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def open_count(self) -> int:
+        """Connections open: 0 or 1."""
+        return 0 if self._connection is None else 1
+
+    async def read_status(self) -> ServerStatus:
+        """Ask for the server's status.
+
+        Returns:
+            The status.
+
+        Raises:
+            BackendRefusedError: Nothing listens there.
+            BackendError: Any other failure.
+        """
+        return await self._run(operations.read_status)
+
+    async def fence(self, term: int) -> ServerStatus:
+        """Make the server read-only and read its final status.
+
+        Args:
+            term: The new term.
+
+        Returns:
+            The status after fencing.
+
+        Raises:
+            BackendError: The server did not confirm.
+        """
+
+        async def fence_and_read(connection: BackendConnection) -> ServerStatus:
+            await operations.fence_server(connection, term)
+            return await operations.read_status(connection)
+
+        return await self._run(fence_and_read)
+
+    async def promote(self, term: int) -> int:
+        """Make the server the primary of a term.
+
+        Args:
+            term: The new term.
+
+        Returns:
+            The start position.
+
+        Raises:
+            BackendError: The server did not confirm.
+        """
+
+        async def promote(connection: BackendConnection) -> int:
+            return await operations.promote_server(connection, term)
+
+        return await self._run(promote)
+
+    async def follow(self, primary: BackendServer, term: int) -> None:
+        """Make the server a replica.
+
+        Args:
+            primary: Whom to follow.
+            term: The primary's term.
+
+        Raises:
+            BackendError: The server did not confirm.
+        """
+
+        async def follow(connection: BackendConnection) -> None:
+            await operations.follow_primary(
+                connection, primary.server_id, primary.host, primary.port, term
+            )
+
+        await self._run(follow)
+
+    async def _run(self, command: Callable[[BackendConnection], Awaitable]) -> object:
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_S), self._lock:
+                try:
+                    connection = await self._connect()
+                    return await command(connection)
+                except BaseException:
+                    self.close()
+                    raise
+        except BackendRefusedError:
+            raise
+        except (asyncmy.errors.MySQLError, TimeoutError, OSError) as error:
+            raise BackendError(f"{self.server.server_id}: {error}") from error
+
+    async def _connect(self) -> BackendConnection:
+        if self._connection is not None and not is_broken(self._connection):
+            return self._connection
+        self.close()
+        self._connection = await open_connection(
+            self.server.host,
+            self.server.port,
+            self._credentials.user,
+            self._credentials.password,
+            "",
+        )
+        return self._connection
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is None:
+            return
+        self._connection.close()
+        self._connection = None
--- /dev/null
+++ b/pollencleat/backend/operations.py
@@ -0,0 +1,94 @@
+"""Statements by which a database group reports and changes its replication.
+
+All dialect of the platform's database groups is in this module: status, fencing,
+promotion and following.
+"""
+
+from pollencleat.backend.connection import BackendConnection
+from pollencleat.core.data import ServerStatus
+from pollencleat.core.errors import BackendError
+
+STATUS_SQL = (
+    "SELECT @@server_term, @@log_position, @@received_position, @@last_entry_term, "
+    "@@read_only, @@following"
+)
+POSITION_SQL = "SELECT @@server_term, @@log_position"
+
+
+async def read_status(connection: BackendConnection) -> ServerStatus:
+    """Ask a server for its replication status.
+
+    Args:
+        connection: An idle connection.
+
+    Returns:
+        The status.
+
+    Raises:
+        BackendError: The answer has another form.
+    """
+    rows = await connection.run(STATUS_SQL)
+    if not isinstance(rows, list) or len(rows) != 1:
+        raise BackendError("malformed status answer")
+    term, position, received, entry_term, read_only, following = rows[0]
+    return ServerStatus(
+        int(term),
+        int(position),
+        int(received),
+        int(entry_term),
+        bool(int(read_only)),
+        str(following or ""),
+    )
+
+
+async def read_position(connection: BackendConnection) -> tuple[int, int]:
+    """Ask a server for its term and applied position.
+
+    Args:
+        connection: An idle connection.
+
+    Returns:
+        Term and position.
+    """
+    rows = await connection.run(POSITION_SQL)
+    term, position = rows[0]
+    return int(term), int(position)
+
+
+async def fence_server(connection: BackendConnection, term: int) -> None:
+    """Make a server read-only for a term and end all its client sessions.
+
+    Args:
+        connection: An idle connection.
+        term: The new term; a server that knows a later one refuses.
+    """
+    await connection.run(f"FENCE FOR TERM {term}")
+
+
+async def promote_server(connection: BackendConnection, term: int) -> int:
+    """Make a server the primary of a term.
+
+    Args:
+        connection: An idle connection.
+        term: The new term; a server that knows a later one refuses.
+
+    Returns:
+        The log position from which it accepts writes.
+    """
+    rows = await connection.run(f"PROMOTE TO TERM {term}")
+    return int(rows[0][0])
+
+
+async def follow_primary(
+    connection: BackendConnection, primary_id: str, host: str, port: int, term: int
+) -> None:
+    """Make a server a read-only replica.
+
+    Args:
+        connection: An idle connection.
+        primary_id: Name that the server reports as the one it follows.
+        host: The primary's address.
+        port: The primary's port.
+        term: The primary's term; a server that knows a later one refuses.
+    """
+    await connection.run(f"FOLLOW '{primary_id}' AT '{host}:{port}' FOR TERM {term}")
--- /dev/null
+++ b/pollencleat/backend/pool.py
@@ -0,0 +1,265 @@
+"""The connections of this node to one backend server.
+
+A connection serves one transaction at a time.  It goes back to the pool only after a
+complete answer with no transaction open; in every other case it is closed, so that a
+late answer has nobody to reach.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from pollencleat.backend.connection import BackendConnection, open_connection
+from pollencleat.core.data import BackendServer
+from pollencleat.core.errors import (
+    BackendError,
+    BackendUnreachableError,
+    OverloadedError,
+)
+from pollencleat.limits.queue import ServerQueue, Ticket
+
+MONITOR_CONNECTIONS = 1
+"""Connections of the share that are kept for sampling and commands."""
+
+OPEN_TIMEOUT_S = 2.0
+MIN_RETRY_AFTER_MS = 20
+WARM_UP_CUSTOMER = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """How the proxy logs in to backend servers."""
+
+    user: str
+    password: str
+
+
+@dataclass(eq=False, slots=True)
+class Lease:
+    """A connection lent for one statement or transaction.
+
+    Attributes:
+        opened_for_term: Term that the connection belongs to.
+    """
+
+    connection: BackendConnection
+    ticket: Ticket
+    opened_for_term: int
+    pool: "ServerPool"
+
+    def give_back(self, reusable: bool) -> None:
+        """Return the connection, or close it.
+
+        Args:
+            reusable: The last answer was complete and no transaction is open.
+        """
+        self.pool.take_back(self, reusable)
+
+
+class ServerPool:
+    """Opens, lends and closes connections, never more than allowed."""
+
+    def __init__(
+        self,
+        server: BackendServer,
+        database: str,
+        credentials: Credentials,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start empty, with no connection allowed."""
+        self.server = server
+        self.database = database
+        self.queue = ServerQueue(0)
+        self.open_count = 0
+        self.allowed = 0
+        self._credentials = credentials
+        self._clock = clock
+        self._idle: list[tuple[BackendConnection, int]] = []
+        self._leases: set[Lease] = set()
+
+    def allow(self, connections: int) -> None:
+        """Set how many connections may be open, the monitor's included.
+
+        Args:
+            connections: This node's share.
+        """
+        self.allowed = connections
+        self.queue.capacity = max(0, connections - MONITOR_CONNECTIONS)
+        while self._idle and self.open_count > self.queue.capacity:
+            self._close(self._idle.pop()[0])
+        self._wake(self.queue.grant_waiting(self._clock()))
+
+    async def borrow(
+        self, customer_id: str, queue_limit: int, deadline_s: float, term: int
+    ) -> Lease:
+        """Wait for a turn and lend a connection.
+
+        Args:
+            customer_id: Who pays for the turn.
+            queue_limit: Statements that the customer may have waiting.
+            deadline_s: Local time after which the statement is refused.
+            term: Connections of an older term are closed instead of lent.
+
+        Returns:
+            A lease that must be given back.
+
+        Raises:
+            OverloadedError: The wait would be, or was, too long.
+            BackendUnreachableError: No connection could be opened.
+        """
+        ticket = Ticket(customer_id, deadline_s)
+        await self._take_turn(ticket, queue_limit)
+        try:
+            connection = self._pop_idle(term)
+            if connection is None:
+                connection = await self._open()
+        except BaseException:
+            self._wake(self.queue.release(ticket, self._clock()))
+            raise
+        lease = Lease(connection, ticket, term, self)
+        self._leases.add(lease)
+        return lease
+
+    async def _take_turn(self, ticket: Ticket, queue_limit: int) -> None:
+        refusal = self.queue.offer(ticket, queue_limit, self._clock())
+        if refusal is not None:
+            raise self._overloaded(ticket, refusal.value)
+        if ticket.granted_at_s is not None:
+            return
+        future = asyncio.get_running_loop().create_future()
+        ticket.settle = future
+        try:
+            async with asyncio.timeout(max(0.0, ticket.deadline_s - self._clock())):
+                await future
+        except TimeoutError:
+            self._leave_queue(ticket)
+            raise self._overloaded(ticket, "the deadline passed") from None
+        except asyncio.CancelledError:
+            self._leave_queue(ticket)
+            raise
+
+    def _leave_queue(self, ticket: Ticket) -> None:
+        if self.queue.withdraw(ticket) or ticket.granted_at_s is None:
+            return
+        self._wake(self.queue.release(ticket, self._clock()))
+
+    def _overloaded(self, ticket: Ticket, reason: str) -> OverloadedError:
+        wait_ms = int(self.queue.expected_wait_s(ticket.customer_id) * 1000)
+        return OverloadedError(
+            f"server {self.server.server_id}: {reason}",
+            max(MIN_RETRY_AFTER_MS, wait_ms),
+        )
+
+    def _wake(self, tickets: list[Ticket]) -> None:
+        for ticket in tickets:
+            if not ticket.settle.done():
+                ticket.settle.set_result(None)
+
+    def _pop_idle(self, term: int) -> BackendConnection | None:
+        while self._idle:
+            connection, opened_for_term = self._idle.pop()
+            if opened_for_term >= term and not is_broken(connection):
+                return connection
+            self._close(connection)
+        return None
+
+    async def _open(self) -> BackendConnection:
+        self.open_count += 1
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                return await open_connection(
+                    self.server.host,
+                    self.server.port,
+                    self._credentials.user,
+                    self._credentials.password,
+                    self.database,
+                )
+        except (BackendError, TimeoutError) as error:
+            self.open_count -= 1
+            raise BackendUnreachableError(
+                f"server {self.server.server_id}: {error}", 200
+            ) from error
+        except BaseException:
+            self.open_count -= 1
+            raise
+
+    def take_back(self, lease: Lease, reusable: bool) -> None:
+        """Take a connection back from a lease.
+
+        Args:
+            lease: A lease of this pool; a second return does nothing.
+            reusable: Whether the connection may be lent again.
+        """
+        if lease not in self._leases:
+            return
+        self._leases.discard(lease)
+        is_surplus = self.open_count > self.queue.capacity
+        if reusable and not is_surplus and not is_broken(lease.connection):
+            self._idle.append((lease.connection, lease.opened_for_term))
+        else:
+            self._close(lease.connection)
+        self._wake(self.queue.release(lease.ticket, self._clock()))
+
+    async def warm_up(self, count: int, term: int) -> None:
+        """Open idle connections ahead of need.
+
+        Args:
+            count: Idle connections wanted.
+            term: Term that they belong to.
+        """
+        while len(self._idle) < count and self.open_count < self.queue.capacity:
+            ticket = Ticket(WARM_UP_CUSTOMER, self._clock())
+            if self.queue.offer(ticket, 0, self._clock()) is not None:
+                return
+            if ticket.granted_at_s is None:
+                self.queue.withdraw(ticket)
+                return
+            try:
+                connection = await self._open()
+                self._idle.append((connection, term))
+            except BackendUnreachableError:
+                return
+            finally:
+                self._wake(self.queue.release(ticket, self._clock()))
+
+    def end_older_terms(self, term: int) -> None:
+        """Close every connection of an older term, also those in use.
+
+        Args:
+            term: The first term that stays.
+        """
+        for connection, opened_for_term in self._idle:
+            if opened_for_term < term:
+                self._close(connection)
+        self._idle = [entry for entry in self._idle if entry[1] >= term]
+        for lease in self._leases:
+            if lease.opened_for_term < term:
+                lease.connection.close()
+
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            self._close(self._idle.pop()[0])
+
+    def close(self) -> None:
+        """Close everything, also connections in use."""
+        self.close_idle()
+        for lease in self._leases:
+            lease.connection.close()
+
+    def _close(self, connection: BackendConnection) -> None:
+        self.open_count -= 1
+        connection.close()
+
+
+def is_broken(connection: BackendConnection) -> bool:
+    """Return whether a connection is known to be unusable.
+
+    Args:
+        connection: A connection with no command under way.
+
+    Returns:
+        True if it was closed or the server ended it.
+    """
+    protocol = connection._proto
+    return not connection.connected or protocol is None or protocol.eof
--- /dev/null
+++ b/pollencleat/callers/connection.py
@@ -0,0 +1,543 @@
+"""The protocol connection of one caller."""
+
+import asyncio
+import re
+from ssl import SSLContext
+
+import structlog
+from mysql_mimic import packets
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.control import LocalControl
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.stream import ConnectionClosed
+from mysql_mimic.types import Capabilities, ColumnType, ServerStatus
+
+from pollencleat.callers.commands import (
+    ID_BYTES,
+    BackendStatementError,
+    Command,
+    PreparedText,
+    QueryCommand,
+    build_execute_command,
+    prepare_on,
+)
+from pollencleat.callers.executor import Done, Executor
+from pollencleat.callers.gateway import Gateway
+from pollencleat.callers.identity import CallerIdentityProvider
+from pollencleat.callers.relay import EndMaker
+from pollencleat.callers.session import CallerSession
+from pollencleat.callers.stream import CallerStream
+from pollencleat.core.constants import MAX_STATEMENT_BYTES
+from pollencleat.core.data import Customer
+from pollencleat.core.errors import (
+    BackendLostError,
+    CallerError,
+    InvalidHintError,
+    NotRunError,
+    StatementTooLargeError,
+    UnsupportedStatementError,
+)
+from pollencleat.routing.statements import Action, Hints, judge_statement
+from pollencleat.routing.tokens import Token, format_token
+
+HANDSHAKE_LIMIT_S = 10.0
+PREPARED_LIMIT = 512
+"""Prepared statements that one caller may keep open."""
+
+_SERVER_CAPABILITIES = DEFAULT_SERVER_CAPABILITIES & ~(
+    Capabilities.CLIENT_QUERY_ATTRIBUTES
+)
+_TOKEN_NAME = "pollencleat_token"
+_SET_TOKEN = re.compile(
+    r"SET\s+(?:SESSION\s+)?@pollencleat_token\s*:?=\s*['\"]([^'\"]*)['\"]\s*;?\s*$",
+    re.IGNORECASE,
+)
+_SET_AUTOCOMMIT = re.compile(
+    r"SET\s+(?:SESSION\s+)?(?:@@)?(?:SESSION\.)?autocommit\s*=\s*"
+    r"(0|1|ON|OFF|TRUE|FALSE)\s*;?\s*$",
+    re.IGNORECASE,
+)
+_SET_NAMES = re.compile(
+    r"SET\s+(?:NAMES|CHARACTER\s+SET)\s+['\"]?(utf8mb4|utf8mb3|utf8)['\"]?"
+    r"(?:\s+COLLATE\s+['\"]?\w+['\"]?)?\s*;?\s*$",
+    re.IGNORECASE,
+)
+_USE = re.compile(r"USE\s+`?([^`\s;]+)`?\s*;?\s*$", re.IGNORECASE)
+_UTF8_CHARSETS = frozenset({"utf8mb4", "utf8mb3", "utf8"})
+log = structlog.get_logger()
+
+
+class CallerConnection(Connection, EndMaker):
+    """Speaks the protocol with one caller."""
+
+    def __init__(
+        self,
+        stream: CallerStream,
+        session: CallerSession,
+        control: LocalControl,
+        identity_provider: CallerIdentityProvider,
+        gateway: Gateway,
+        ssl: SSLContext | None = None,
+    ) -> None:
+        """Take over an accepted connection."""
+        super().__init__(
+            stream, session, control, identity_provider, _SERVER_CAPABILITIES, ssl
+        )
+        self.gateway = gateway
+        self.executor = Executor(gateway, session, stream, self)
+        self.prepared_by_id: dict[int, PreparedText] = {}
+        self.in_flight = False
+
+    # Connection phase.
+
+    async def connection_phase(self) -> None:
+        """Shake hands within a time limit."""
+        async with asyncio.timeout(HANDSHAKE_LIMIT_S):
+            await super().connection_phase()
+        charset = str(self.session.variables.get("character_set_client"))
+        if charset not in _UTF8_CHARSETS:
+            raise UnsupportedStatementError(f"character set {charset}; use utf8mb4")
+        self.executor.caller_deprecates_eof = self.deprecate_eof()
+
+    async def authenticate(self, **options: object) -> None:
+        """Authenticate, and end the connection unless that succeeded.
+
+        Args:
+            **options: As the library passes them.
+
+        Raises:
+            ConnectionClosed: The caller is not who it says.
+        """
+        self.session.username = None
+        await super().authenticate(**options)
+        customer = self.gateway.customer_of(self.session.username or "")
+        if customer is None:
+            self.gateway.metrics.count("access_denied")
+            raise ConnectionClosed
+        self.session.customer_id = customer.customer_id
+        self._set_status()
+
+    def _set_status(self) -> None:
+        status = ServerStatus(0)
+        if self.session.autocommit:
+            status |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.transaction is not None:
+            status |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = status
+
+    # Packets.
+
+    def eof(self, status: int = 0, **options: object) -> bytes:
+        """Return an EOF packet.
+
+        Args:
+            status: Status flags; the session's own if 0.
+            **options: As the library passes them.
+
+        Returns:
+            The payload.
+        """
+        flags = ServerStatus(status) if status else self.status_flags
+        return packets.make_eof(
+            capabilities=self.capabilities, status_flags=flags, **options
+        )
+
+    def ok_as_eof(self, status: int) -> bytes:
+        """Return the packet that ends a result set for newer callers.
+
+        Args:
+            status: Status flags.
+
+        Returns:
+            The payload.
+        """
+        return packets.make_ok(
+            capabilities=self.capabilities,
+            status_flags=ServerStatus(status),
+            eof=True,
+        )
+
+    async def _write_done(self, done: Done) -> None:
+        self._set_status()
+        if done.last_insert_id:
+            self.session.last_insert_id = done.last_insert_id
+        await self.stream.write(
+            self.ok(
+                affected_rows=done.affected_rows,
+                last_insert_id=done.last_insert_id,
+                warnings=done.warnings,
+            )
+        )
+
+    async def _write_error(self, error: CallerError) -> None:
+        self._set_status()
+        self.gateway.metrics.count("caller_error", type(error).__name__)
+        if isinstance(error, BackendStatementError):
+            await self.stream.write(error.packet)
+            return
+        message = error.message_for_caller().encode()
+        code = int(error.code).to_bytes(2, "little")
+        sqlstate = error.sqlstate.encode()
+        await self.stream.write(b"\xff" + code + b"#" + sqlstate + message)
+
+    # Commands.
+
+    async def command_phase(self) -> None:
+        """Carry out commands until the caller leaves or the node drains."""
+        while not (self.gateway.board.draining and self.session.transaction is None):
+            try:
+                data = await self.stream.read()
+            except ConnectionClosed:
+                return
+            except StatementTooLargeError as error:
+                await self._write_error(error)
+                return
+            self.in_flight = True
+            try:
+                if not await self._carry_out(data):
+                    return
+            finally:
+                self.in_flight = False
+                self.stream.reset_seq()
+
+    async def _carry_out(self, data: bytes) -> bool:
+        if not data or data[0] == 0x01:
+            return False
+        handler = _handlers_by_command.get(data[0])
+        try:
+            if handler is None:
+                raise UnsupportedStatementError(f"command {data[0]:#04x}")
+            await handler(self, data[1:])
+        except CallerError as error:
+            await self._write_error(error)
+        except BackendLostError as error:
+            await self._write_error(NotRunError(str(error)))
+        return True
+
+    def _customer(self) -> Customer:
+        customer = self.gateway.customer_of(self.session.username)
+        if customer is None:
+            raise UnsupportedStatementError("the user is no longer declared")
+        return customer
+
+    async def handle_query(self, data: bytes) -> None:
+        """Carry out a text query.
+
+        Args:
+            data: The statement.
+        """
+        text = _decode(data)
+        await self._run_statement(text, QueryCommand(data))
+
+    async def _run_statement(self, text: str, command: Command) -> None:
+        statement = judge_statement(text)
+        if statement.hints.token:
+            self.executor.adopt_token(statement.hints.token)
+        runner = _runners_by_action[statement.action]
+        started_at_s = self.gateway.clock()
+        done = await runner(self, statement.hints, text, command, statement.reason)
+        if done is not None:
+            await self._write_done(done)
+        duration_ms = (self.gateway.clock() - started_at_s) * 1000
+        self.gateway.metrics.record_duration(statement.action.value, duration_ms)
+
+    async def _run_read(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done | None:
+        customer = self._customer()
+        if await self._enter_transaction(customer, hints):
+            return await self.executor.run_in_transaction(Action.READ, command)
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        return await self.executor.read(customer, group, command, hints)
+
+    async def _run_write(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done | None:
+        customer = self._customer()
+        if await self._enter_transaction(customer, hints):
+            return await self.executor.run_in_transaction(Action.WRITE, command)
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        return await self.executor.write(customer, group, command, hints)
+
+    async def _enter_transaction(self, customer: Customer, hints: Hints) -> bool:
+        if self.session.transaction is not None:
+            return True
+        if self.session.autocommit:
+            return False
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        await self.executor.begin(customer, group, hints, read_only=False)
+        return True
+
+    async def _run_begin(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        customer = self._customer()
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        return await self.executor.begin(customer, group, hints, read_only=False)
+
+    async def _run_begin_read_only(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        customer = self._customer()
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        return await self.executor.begin(customer, group, hints, read_only=True)
+
+    async def _run_commit(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        return await self.executor.commit()
+
+    async def _run_rollback(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        return await self.executor.rollback()
+
+    async def _run_set(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        text = text.strip()
+        match = _SET_TOKEN.match(text)
+        if match:
+            self.executor.adopt_token(match[1])
+            return Done()
+        match = _SET_AUTOCOMMIT.match(text)
+        if match:
+            autocommit = match[1].upper() in ("1", "ON", "TRUE")
+            if autocommit and self.session.transaction is not None:
+                await self.executor.commit()
+            self.session.autocommit = autocommit
+            return Done()
+        if _SET_NAMES.match(text):
+            return Done()
+        raise UnsupportedStatementError(
+            "only autocommit, names and @pollencleat_token can be set"
+        )
+
+    async def _run_use(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> Done:
+        match = _USE.match(text.strip())
+        if match is None:
+            raise UnsupportedStatementError("malformed USE")
+        self._use(match[1])
+        return Done()
+
+    def _use(self, database: str) -> None:
+        if self.session.transaction is not None:
+            raise UnsupportedStatementError("USE inside of a transaction")
+        self.gateway.group_of(self._customer().customer_id, database)
+        self.session.database = database
+
+    async def _run_session_value(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> None:
+        name = text.strip().rstrip("; ")[len("SELECT") :].strip()
+        lowered = name.lower()
+        if lowered.startswith("@" + _TOKEN_NAME):
+            value = self._make_token()
+        elif lowered.startswith("last_insert_id"):
+            value = self.session.last_insert_id
+        else:
+            return await self._run_server_variable(lowered, hints, text, command)
+        kind = ColumnType.LONGLONG if isinstance(value, int) else ColumnType.VAR_STRING
+        column = ResultColumn(name, kind)
+        await self.write_text_resultset(ResultSet([(value,)], [column]))
+        return None
+
+    async def _run_server_variable(
+        self, name: str, hints: Hints, text: str, command: Command
+    ) -> Done | None:
+        if "autocommit" in name:
+            column = ResultColumn(name, ColumnType.LONGLONG)
+            rows = [(int(self.session.autocommit),)]
+            await self.write_text_resultset(ResultSet(rows, [column]))
+            return None
+        return await self._run_read(hints, text, command, "")
+
+    def _make_token(self) -> str:
+        group_id = self.session.token_group
+        seen = self.session.seen_by_group.get(group_id)
+        if seen is None:
+            return ""
+        return format_token(Token(group_id, seen))
+
+    async def _run_refused(
+        self, hints: Hints, text: str, command: Command, reason: str
+    ) -> None:
+        raise UnsupportedStatementError(reason)
+
+    # Prepared statements.
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Prepare a statement on some server of the group, for its description.
+
+        Args:
+            data: The statement.
+        """
+        text = _decode(data)
+        statement = judge_statement(text)
+        if statement.action not in (Action.READ, Action.WRITE):
+            raise UnsupportedStatementError(
+                statement.reason or f"{statement.word} cannot be prepared"
+            )
+        if len(self.prepared_by_id) >= PREPARED_LIMIT:
+            raise UnsupportedStatementError(f"more than {PREPARED_LIMIT} statements")
+        answer, deprecates_eof = await self._describe(text, statement.hints)
+        statement_id = next(self.prepared_stmt_seq)
+        columns = int.from_bytes(answer[0][5:7], "little")
+        parameters = int.from_bytes(answer[0][7:9], "little")
+        self.prepared_by_id[statement_id] = PreparedText(statement_id, text, parameters)
+        identity = statement_id.to_bytes(ID_BYTES, "little")
+        await self.stream.forward(answer[0][:1] + identity + answer[0][5:])
+        position = 1
+        for count in (parameters, columns):
+            if not count:
+                continue
+            for payload in answer[position : position + count]:
+                await self.stream.forward(payload)
+            position += count + (0 if deprecates_eof else 1)
+            if not self.deprecate_eof():
+                await self.stream.forward(self.eof())
+        await self.stream.drain()
+
+    async def _describe(self, text: str, hints: Hints) -> tuple[list[bytes], bool]:
+        if self.session.transaction is not None:
+            connection = self.session.transaction.lease.connection
+            _, answer = await prepare_on(connection, text)
+            return answer, connection.deprecates_eof
+        customer = self._customer()
+        group = self.gateway.group_of(customer.customer_id, self.session.database)
+        request = await self.executor.make_read_request(group, hints)
+        server_id = await self.gateway.choose_server(request)
+        term = self.gateway.board.group_term(group.group_id)
+        lease = await self.gateway.borrow(
+            server_id, customer, term.term, self.gateway.queue_deadline_s()
+        )
+        reusable = False
+        try:
+            _, answer = await prepare_on(lease.connection, text)
+            reusable = True
+            return answer, lease.connection.deprecates_eof
+        except BackendStatementError:
+            reusable = True
+            raise
+        finally:
+            lease.give_back(reusable)
+
+    def _prepared(self, data: bytes) -> PreparedText:
+        statement_id = int.from_bytes(data[:ID_BYTES], "little")
+        prepared = self.prepared_by_id.get(statement_id)
+        if prepared is None:
+            raise InvalidHintError(f"unknown prepared statement {statement_id}")
+        return prepared
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Execute a prepared statement.
+
+        Args:
+            data: Statement id, flags and parameters.
+        """
+        prepared = self._prepared(data)
+        command = build_execute_command(prepared, data)
+        await self._run_statement(prepared.text, command)
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Keep a part of a parameter; this command has no answer.
+
+        Args:
+            data: Statement id, parameter number and bytes.
+        """
+        prepared = self.prepared_by_id.get(int.from_bytes(data[:ID_BYTES], "little"))
+        if prepared is None:
+            return
+        prepared.long_data_size += len(data)
+        if prepared.long_data_size > MAX_STATEMENT_BYTES:
+            raise ConnectionClosed
+        prepared.long_data.append(data[ID_BYTES:])
+
+    async def handle_stmt_reset(self, data: bytes) -> None:
+        """Forget parts of parameters.
+
+        Args:
+            data: Statement id.
+        """
+        prepared = self._prepared(data)
+        prepared.long_data = []
+        prepared.long_data_size = 0
+        await self._write_done(Done())
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement; this command has no answer.
+
+        Args:
+            data: Statement id.
+        """
+        self.prepared_by_id.pop(int.from_bytes(data[:ID_BYTES], "little"), None)
+
+    # Other commands.
+
+    async def handle_ping(self, data: bytes) -> None:
+        """Answer that this node is alive.
+
+        Args:
+            data: Empty.
+        """
+        await self._write_done(Done())
+
+    async def handle_init_db(self, data: bytes) -> None:
+        """Change the database.
+
+        Args:
+            data: Its name.
+        """
+        self._use(_decode(data))
+        await self._write_done(Done())
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Return to the state after login; what the session has seen stays.
+
+        Args:
+            data: Empty.
+        """
+        await self.executor.rollback()
+        self.session.autocommit = True
+        self.session.last_insert_id = 0
+        self.prepared_by_id.clear()
+        await self._write_done(Done())
+
+
+_handlers_by_command = {
+    0x02: CallerConnection.handle_init_db,
+    0x03: CallerConnection.handle_query,
+    0x0E: CallerConnection.handle_ping,
+    0x16: CallerConnection.handle_stmt_prepare,
+    0x17: CallerConnection.handle_stmt_execute,
+    0x18: CallerConnection.handle_stmt_send_long_data,
+    0x19: CallerConnection.handle_stmt_close,
+    0x1A: CallerConnection.handle_stmt_reset,
+    0x1F: CallerConnection.handle_reset_connection,
+}
+
+_runners_by_action = {
+    Action.READ: CallerConnection._run_read,
+    Action.WRITE: CallerConnection._run_write,
+    Action.BEGIN: CallerConnection._run_begin,
+    Action.BEGIN_READ_ONLY: CallerConnection._run_begin_read_only,
+    Action.COMMIT: CallerConnection._run_commit,
+    Action.ROLLBACK: CallerConnection._run_rollback,
+    Action.SET: CallerConnection._run_set,
+    Action.USE: CallerConnection._run_use,
+    Action.SESSION_VALUE: CallerConnection._run_session_value,
+    Action.REFUSED: CallerConnection._run_refused,
+}
+
+
+def _decode(data: bytes) -> str:
+    try:
+        return data.decode()
+    except UnicodeDecodeError as error:
+        # Binary literals in a text query are legal in the protocol.
+        if b"_binary" in data:
+            return data.decode("utf8", "surrogateescape")
+        raise InvalidHintError("the statement is not UTF-8") from error
--- /dev/null
+++ b/pollencleat/callers/stream.py
@@ -0,0 +1,72 @@
+"""Framing of packets to and from a caller, with a limit on what is accepted."""
+
+import asyncio
+
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+
+from pollencleat.core.constants import MAX_STATEMENT_BYTES
+from pollencleat.core.errors import StatementTooLargeError
+
+HEADER_BYTES = 4
+MAX_PAYLOAD_BYTES = 0xFFFFFF
+
+
+class CallerStream:
+    """Reads whole packets and refuses oversized or malformed ones.
+
+    The library's stream is compiled and cannot be derived from; it does the writing.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Use an accepted connection."""
+        self.reader = reader
+        self.writer = writer
+        self._inner = MysqlStream(reader, writer)
+        self.seq = self._inner.seq
+        self.write = self._inner.write
+        self.write_many = self._inner.write_many
+        self.write_text_rows = self._inner.write_text_rows
+        self.drain = self._inner.drain
+        self.reset_seq = self._inner.reset_seq
+        self.start_tls = self._inner.start_tls
+
+    async def read(self) -> bytes:
+        """Read one command or handshake packet.
+
+        Returns:
+            The payload, joined if it was split.
+
+        Raises:
+            ConnectionClosed: The caller left, or its framing is broken.
+            StatementTooLargeError: The payload exceeds the limit.
+        """
+        parts = []
+        size = 0
+        while True:
+            payload = await self._read_payload()
+            size += len(payload)
+            if size > MAX_STATEMENT_BYTES:
+                raise StatementTooLargeError(f"more than {MAX_STATEMENT_BYTES} bytes")
+            parts.append(payload)
+            if len(payload) < MAX_PAYLOAD_BYTES:
+                return parts[0] if len(parts) == 1 else b"".join(parts)
+
+    async def _read_payload(self) -> bytes:
+        try:
+            header = await self.reader.readexactly(HEADER_BYTES)
+            if header[3] != next(self.seq):
+                raise ConnectionClosed
+            length = int.from_bytes(header[:3], "little")
+            return await self.reader.readexactly(length)
+        except (asyncio.IncompleteReadError, OSError) as error:
+            raise ConnectionClosed from error
+
+    async def forward(self, payload: bytes) -> None:
+        """Send a packet on, waiting only when the send buffer is large.
+
+        Args:
+            payload: A payload from a backend server.
+        """
+        await self.write(payload, drain=False)
--- /dev/null
+++ b/pollencleat/core/blackboard.py
@@ -0,0 +1,259 @@
+"""What one node knows and wants.
+
+Controllers are plain synchronous objects: they read the blackboard, change it and
+append effects, which adapters carry out.  No controller does I/O, so each can be driven
+by tests with simulated time.
+"""
+
+import bisect
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from pollencleat.core.data import (
+    Fleet,
+    GroupTerm,
+    Inventory,
+    ServerStatus,
+    VmList,
+)
+from pollencleat.core.effects import Effect
+from pollencleat.core.messages import Envelope, PeerMessage, Versions
+
+PRIMARY_SAMPLES_KEPT = 256
+"""Position samples of a primary that are kept for bounding the age of replicas."""
+
+
+@dataclass(slots=True)
+class PeerView:
+    """What is known of another entry VM, in the local clock's seconds.
+
+    Attributes:
+        promised_at_s: Lower bound of the time at which the peer's newest promise was
+            given.
+        their_sent_at_s: The peer's clock in its newest heartbeat, to be echoed.
+    """
+
+    incarnation: str = ""
+    heard_at_s: float = -1e9
+    promised_at_s: float = -1e9
+    their_sent_at_s: float | None = None
+
+
+@dataclass(slots=True)
+class DomainView:
+    """The newest promise of all members of a failure domain."""
+
+    members_key: int = 0
+    promised_at_s: float = -1e9
+
+
+@dataclass(slots=True)
+class ServerView:
+    """What is known of a backend server, in the local clock's seconds.
+
+    Attributes:
+        status: Newest answer, or None.
+        status_sent_at_s: When the question to that answer was sent.
+        fresh_as_of_s: The server has everything that its primary had at this time.
+        refused_at_s: When the last connection was refused; cleared by an answer.
+    """
+
+    status: ServerStatus | None = None
+    status_sent_at_s: float = -1e9
+    answered_at_s: float = -1e9
+    fresh_as_of_s: float = -1e9
+    refused_at_s: float | None = None
+
+
+@dataclass(slots=True)
+class PrimarySamples:
+    """Positions of one term's primary over time, both ascending."""
+
+    term: int = 0
+    sent_at_s: deque[float] = field(
+        default_factory=lambda: deque(maxlen=PRIMARY_SAMPLES_KEPT)
+    )
+    positions: deque[int] = field(
+        default_factory=lambda: deque(maxlen=PRIMARY_SAMPLES_KEPT)
+    )
+
+    def add(self, term: int, sent_at_s: float, position: int) -> None:
+        """Add a sample; a new term starts over.
+
+        Args:
+            term: The primary's term.
+            sent_at_s: When the question was sent.
+            position: The position that was answered.
+        """
+        if term != self.term:
+            self.term = term
+            self.sent_at_s.clear()
+            self.positions.clear()
+        if self.sent_at_s and sent_at_s <= self.sent_at_s[-1]:
+            return
+        self.sent_at_s.append(sent_at_s)
+        self.positions.append(position)
+
+    def time_covered_by(self, position: int) -> float | None:
+        """Return the newest time at which the primary had nothing beyond a position.
+
+        Args:
+            position: A replica's applied position.
+
+        Returns:
+            Seconds of the local clock, or None if no sample is that old.
+        """
+        index = bisect.bisect_right(self.positions, position)
+        if index == 0:
+            return None
+        return self.sent_at_s[index - 1]
+
+
+@dataclass
+class Blackboard:
+    """All state of one node's controllers.
+
+    Attributes:
+        fresh_at_s: The fleet state was the platform's newest when a read was sent at
+            this local time.
+        outage_limit_s: The inventory's outage limit when fresh_at_s was last moved; a
+            later change must not lengthen an outage that already runs.
+        registered_at_s: When this node first saw itself as a member.
+        promised_until_s: No server may be made a primary by this node before.
+        primary_seen_at_s: When this node learned of a group's current primary.
+        wall_clock_s: Unix time for audit entries; never used for a decision.
+        promoting: Promises are withheld while a promotion may be under way.
+    """
+
+    node_id: str
+    incarnation: str
+    failure_domain: str
+    address: str
+    admin_address: str
+    random: random.Random
+    fleet: Fleet = field(default_factory=Fleet)
+    inventory: Inventory = field(default_factory=Inventory)
+    vms: VmList = field(default_factory=VmList)
+    fresh_at_s: float = -1e9
+    read_answered_at_s: float = -1e9
+    outage_limit_s: float = 0.0
+    registered_at_s: float | None = None
+    promised_until_s: float = -1e9
+    promoting: bool = False
+    resigning: bool = False
+    draining: bool = False
+    peers_by_id: dict[str, PeerView] = field(default_factory=dict)
+    domains_by_id: dict[str, DomainView] = field(default_factory=dict)
+    servers_by_id: dict[str, ServerView] = field(default_factory=dict)
+    primary_samples_by_group: dict[str, PrimarySamples] = field(default_factory=dict)
+    outbox: list[Envelope] = field(default_factory=list)
+    wall_clock_s: int = 0
+    effects: list[Effect] = field(default_factory=list)
+    primary_seen_at_s: dict[str, float] = field(default_factory=dict)
+    removed_seen_at_s: dict[str, float] = field(default_factory=dict)
+    member_seen_at_s: dict[str, float] = field(default_factory=dict)
+
+    def send(self, to_node: str, message: PeerMessage) -> None:
+        """Queue a message to a peer.
+
+        Args:
+            to_node: The receiver's node id.
+            message: What to send.
+        """
+        self.outbox.append(Envelope(to_node, message))
+
+    def versions(self) -> Versions:
+        """Return the versions of the objects that this node knows.
+
+        Returns:
+            Versions of fleet, inventory and VM list.
+        """
+        return Versions(self.fleet.version, self.inventory.version, self.vms.version)
+
+    def is_member(self) -> bool:
+        """Return whether this run of the process is registered.
+
+        Returns:
+            True if the known fleet names this incarnation.
+        """
+        member = self.fleet.members_by_id.get(self.node_id)
+        return member is not None and member.incarnation == self.incarnation
+
+    def group_term(self, group_id: str) -> GroupTerm | None:
+        """Return the agreed primary of a group.
+
+        Args:
+            group_id: A declared group.
+
+        Returns:
+            The term record, or None before the first.
+        """
+        return self.fleet.terms_by_group.get(group_id)
+
+    def server(self, server_id: str) -> ServerView:
+        """Return the view of a server, created empty when missing.
+
+        Args:
+            server_id: A declared server.
+
+        Returns:
+            The mutable view.
+        """
+        return self.servers_by_id.setdefault(server_id, ServerView())
+
+    def adopt_fleet(self, fleet: Fleet, now_s: float) -> bool:
+        """Take over a fleet state if it is newer.
+
+        Args:
+            fleet: A state as read from the platform or told by a peer.
+            now_s: Local time.
+
+        Returns:
+            True if it was newer.
+        """
+        if fleet.version <= self.fleet.version:
+            return False
+        for group_id, term in fleet.terms_by_group.items():
+            known = self.fleet.terms_by_group.get(group_id)
+            if known is None or (known.term, known.primary) != (
+                term.term,
+                term.primary,
+            ):
+                self.primary_seen_at_s[group_id] = now_s
+        self.fleet = fleet
+        for incarnation in fleet.removed_by_incarnation:
+            self.removed_seen_at_s.setdefault(incarnation, now_s)
+        for member in fleet.members_by_id.values():
+            self.member_seen_at_s.setdefault(member.incarnation, now_s)
+        if self.registered_at_s is None and self.is_member():
+            self.registered_at_s = now_s
+        return True
+
+    def adopt_inventory(self, inventory: Inventory) -> bool:
+        """Take over an inventory if it is newer.
+
+        Args:
+            inventory: An accepted inventory.
+
+        Returns:
+            True if it was newer.
+        """
+        if inventory.version <= self.inventory.version:
+            return False
+        self.inventory = inventory
+        return True
+
+    def adopt_vms(self, vms: VmList) -> bool:
+        """Take over a VM list if it is newer.
+
+        Args:
+            vms: A list of the platform.
+
+        Returns:
+            True if it was newer.
+        """
+        if vms.version <= self.vms.version:
+            return False
+        self.vms = vms
+        return True
--- /dev/null
+++ b/pollencleat/core/data.py
@@ -0,0 +1,268 @@
+"""The records that all other packages are functions over.
+
+Everything here is an immutable value.  Two objects of the platform are modelled:
+the inventory, which operators declare, and the fleet state, which entry VMs agree on.
+The fleet state is a single object with a single version, so that membership and terms
+change in one total order: whoever knows a version knows exactly who was a member and
+which primary was valid at that point.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may conclude about a statement that returned an error."""
+
+    NOT_RUN = "not run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    ALREADY_DONE = "already done"
+
+
+class RequestKind(enum.StrEnum):
+    """How a statement may be repeated."""
+
+    READ = "read"
+    IDEMPOTENT_WRITE = "idempotent-write"
+    NON_IDEMPOTENT_WRITE = "non-idempotent-write"
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A declared database server.
+
+    Attributes:
+        slots: Statements that the server executes at the same time.
+        connections: Connections that the whole fleet may hold to the server.
+    """
+
+    server_id: str
+    group_id: str
+    host: str
+    port: int
+    failure_domain: str
+    slots: int
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseGroup:
+    """A replicated database: one primary and its replicas."""
+
+    group_id: str
+    database: str
+    customers: tuple[str, ...]
+    server_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A team that shares the platform.
+
+    Attributes:
+        users: User names that belong to the customer.
+        queue_limit: Statements that may wait on one entry VM at the same time.
+    """
+
+    customer_id: str
+    users: tuple[str, ...]
+    queue_limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRule:
+    """How old the answer to a kind of read may be, in milliseconds."""
+
+    kind: str
+    max_age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Limits that hold for the whole deployment.
+
+    Attributes:
+        seats: Entry VMs among which connections are divided.
+        request_retention_s: How long recorded request ids are kept.
+        drain_limit_s: How long a graceful stop waits for statements in flight.
+        outage_limit_s: How long writes may go on without the platform.
+        queue_deadline_ms: How long a statement may wait for a connection.
+    """
+
+    seats: int = 5
+    request_retention_s: int = 86_400
+    drain_limit_s: int = 30
+    outage_limit_s: int = 3_600
+    queue_deadline_ms: int = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class AuditEntry:
+    """One accepted change.
+
+    Attributes:
+        at_s: Unix time in seconds.
+        author: Operator, or the node that acted by itself.
+        before: What held before, in short.
+        after: What holds since.
+    """
+
+    change_id: str
+    at_s: int
+    author: str
+    subject: str
+    before: str
+    after: str
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Inventory:
+    """Everything that operators declare.
+
+    Attributes:
+        version: Version of the platform object; 0 before the first was accepted.
+        source: The INI text that the inventory was parsed from.
+        audit: The change that brought this version.
+    """
+
+    version: int = 0
+    source: str = ""
+    audit: AuditEntry | None = None
+    domains_by_id: dict[str, str] = field(default_factory=dict)
+    customers_by_id: dict[str, Customer] = field(default_factory=dict)
+    groups_by_id: dict[str, DatabaseGroup] = field(default_factory=dict)
+    servers_by_id: dict[str, BackendServer] = field(default_factory=dict)
+    read_rules_by_kind: dict[str, ReadRule] = field(default_factory=dict)
+    rules: Rules = Rules()
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """An entry VM that is registered in the fleet.
+
+    Attributes:
+        incarnation: Identity of this run of the process.
+        address: ZeroMQ endpoint for peer messages.
+        admin_address: Host and port of the administration API.
+        seat: Index of the connection share that the member owns.
+        may_promote: Whether the member's promises are known to be required by all.
+    """
+
+    node_id: str
+    incarnation: str
+    failure_domain: str
+    address: str
+    admin_address: str
+    seat: int
+    may_promote: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RemovedMember:
+    """A former member that may still hold a write permit.
+
+    Attributes:
+        resigned: The member left by itself and holds no permit any more.
+        removed_version: Fleet version from which it no longer was a member.
+    """
+
+    node_id: str
+    incarnation: str
+    resigned: bool
+    removed_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Promotion:
+    """A change of primary in progress.
+
+    Attributes:
+        planned: The old primary is leaving but alive, so that nothing need be lost.
+    """
+
+    attempt_id: str
+    node_id: str
+    incarnation: str
+    old_primary: str
+    planned: bool
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class TermStart:
+    """The log position from which a term's primary accepted writes."""
+
+    term: int
+    start_position: int
+
+
+@dataclass(frozen=True, slots=True)
+class GroupTerm:
+    """The agreed primary of a database group.
+
+    Attributes:
+        primary: Server that may accept writes; empty while a promotion is in progress.
+        history: The newest terms, oldest first.
+    """
+
+    group_id: str
+    term: int
+    primary: str
+    promotion: Promotion | None = None
+    history: tuple[TermStart, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """Membership and terms, agreed through one object of the platform.
+
+    Attributes:
+        audit: The newest promotions, oldest first; being part of the object, an entry
+            is there exactly if its change was accepted.
+    """
+
+    version: int = 0
+    members_by_id: dict[str, Member] = field(default_factory=dict)
+    removed_by_incarnation: dict[str, RemovedMember] = field(default_factory=dict)
+    terms_by_group: dict[str, GroupTerm] = field(default_factory=dict)
+    audit: tuple[AuditEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """The platform's lagging list of virtual machines."""
+
+    version: int = 0
+    live: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Position:
+    """A point in a database group's history."""
+
+    term: int
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStatus:
+    """What a backend server reports of itself.
+
+    Attributes:
+        term: Term of the last promotion that the server took part in.
+        position: Last applied log position.
+        received_position: Last log position received; applying may lag behind.
+        last_entry_term: Term of the last applied log entry.
+        read_only: Whether the server refuses writes.
+        following: Server id that it replicates from, or empty.
+    """
+
+    term: int
+    position: int
+    received_position: int
+    last_entry_term: int
+    read_only: bool
+    following: str
--- /dev/null
+++ b/pollencleat/core/timers.py
@@ -0,0 +1,64 @@
+"""Time: a clock that also runs while the VM is suspended, and a timer service.
+
+Parts subscribe with an interval and are called back; nothing else in the controllers
+knows about sleeping.  Tests advance the service by hand.
+"""
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+MAX_SLEEP_S = 0.05
+"""Longest time in seconds between two looks at the clock."""
+
+
+def read_boottime_s() -> float:
+    """Return seconds since boot, suspended time included.
+
+    Returns:
+        A clock value; only differences on the same machine have a meaning.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class TimerService:
+    """Calls subscribers back at their intervals."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Use the given clock, in seconds."""
+        self.clock = clock
+        self._sequence = itertools.count()
+        self._queue: list[tuple[float, int, float, Callable[[], None]]] = []
+
+    def subscribe(self, interval_s: float, callback: Callable[[], None]) -> None:
+        """Call back every interval, first at the next run.
+
+        Args:
+            interval_s: Seconds between two calls.
+            callback: Called without arguments; must not block.
+        """
+        entry = (self.clock(), next(self._sequence), interval_s, callback)
+        heapq.heappush(self._queue, entry)
+
+    def run_due(self) -> float:
+        """Run every callback that is due.
+
+        Returns:
+            Seconds until the next callback is due.
+        """
+        now = self.clock()
+        while self._queue and self._queue[0][0] <= now:
+            _, order, interval_s, callback = heapq.heappop(self._queue)
+            heapq.heappush(self._queue, (now + interval_s, order, interval_s, callback))
+            callback()
+        if not self._queue:
+            return MAX_SLEEP_S
+        return max(0.0, self._queue[0][0] - now)
+
+    async def run_forever(self) -> None:
+        """Run callbacks until cancelled."""
+        while True:
+            delay_s = self.run_due()
+            await asyncio.sleep(min(delay_s, MAX_SLEEP_S))
--- /dev/null
+++ b/pollencleat/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, life cycle, and adapters that carry out effects."""
--- /dev/null
+++ b/pollencleat/daemon/node.py
@@ -0,0 +1,136 @@
+"""All controllers of one node around its blackboard, without any I/O.
+
+The daemon and the property tests drive the same object: messages, results of effects
+and the passing of time go in; messages and effects come out on the blackboard.
+"""
+
+from collections.abc import Callable
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import BEAT_S
+from pollencleat.core.effects import (
+    FleetUpdated,
+    ServerFenced,
+    ServerPromoted,
+    ServerStatusRead,
+)
+from pollencleat.core.messages import (
+    Beat,
+    PeerMessage,
+    Sighting,
+    SightingRequest,
+    State,
+    StateRequest,
+    StopWrites,
+    WritesStopped,
+)
+from pollencleat.core.timers import TimerService
+from pollencleat.membership.beats import BeatController
+from pollencleat.membership.registration import PURPOSE, RegistrationController
+from pollencleat.promotion.controller import PromotionController
+from pollencleat.promotion.steward import StewardController
+from pollencleat.promotion.suspicion import make_sighting
+
+PROMOTION_TICK_S = 0.05
+REGISTRATION_TICK_S = 0.1
+STEWARD_TICK_S = 0.25
+
+_handlers_by_type: dict[type, Callable] = {}
+
+
+def handles(message_type: type) -> Callable[[Callable], Callable]:
+    """Register a node's method as the handler of a message or result type.
+
+    Args:
+        message_type: The type.
+
+    Returns:
+        A decorator.
+    """
+
+    def register(function: Callable) -> Callable:
+        _handlers_by_type[message_type] = function
+        return function
+
+    return register
+
+
+class Node:
+    """One node's decisions."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        timers: TimerService,
+        seeds: tuple[str, ...] = (),
+    ) -> None:
+        """Create the controllers and subscribe them to the timers."""
+        self.board = board
+        self.clock = timers.clock
+        self.beats = BeatController(board, seeds)
+        self.registration = RegistrationController(board)
+        self.promotion = PromotionController(board, timers.clock())
+        self.steward = StewardController(board)
+        timers.subscribe(BEAT_S, lambda: self.beats.tick(self.clock()))
+        timers.subscribe(
+            REGISTRATION_TICK_S, lambda: self.registration.tick(self.clock())
+        )
+        timers.subscribe(PROMOTION_TICK_S, lambda: self.promotion.tick(self.clock()))
+        timers.subscribe(STEWARD_TICK_S, lambda: self.steward.tick(self.clock()))
+
+    def handle(self, event: PeerMessage | object) -> None:
+        """Take in a peer message or the result of an effect.
+
+        Args:
+            event: The message or result.
+        """
+        _handlers_by_type[type(event)](self, event, self.clock())
+
+    @handles(Beat)
+    def _on_beat(self, beat: Beat, now_s: float) -> None:
+        self.beats.on_beat(beat, now_s)
+
+    @handles(StateRequest)
+    def _on_state_request(self, request: StateRequest, now_s: float) -> None:
+        self.beats.on_state_request(request)
+
+    @handles(State)
+    def _on_state(self, state: State, now_s: float) -> None:
+        self.beats.on_state(state, now_s)
+
+    @handles(StopWrites)
+    def _on_stop_writes(self, message: StopWrites, now_s: float) -> None:
+        self.beats.on_stop_writes(message, now_s)
+
+    @handles(WritesStopped)
+    def _on_writes_stopped(self, message: WritesStopped, now_s: float) -> None:
+        self.promotion.on_writes_stopped(message, now_s)
+
+    @handles(SightingRequest)
+    def _on_sighting_request(self, request: SightingRequest, now_s: float) -> None:
+        self.board.send(
+            request.node_id, make_sighting(self.board, request.server_id, now_s)
+        )
+
+    @handles(Sighting)
+    def _on_sighting(self, sighting: Sighting, now_s: float) -> None:
+        self.promotion.on_sighting(sighting, now_s)
+
+    @handles(FleetUpdated)
+    def _on_fleet_updated(self, result: FleetUpdated, now_s: float) -> None:
+        if result.effect.purpose == PURPOSE:
+            self.registration.on_updated(result, now_s)
+        else:
+            self.promotion.on_updated(result, now_s)
+
+    @handles(ServerFenced)
+    def _on_fenced(self, result: ServerFenced, now_s: float) -> None:
+        self.promotion.on_fenced(result)
+
+    @handles(ServerStatusRead)
+    def _on_status_read(self, result: ServerStatusRead, now_s: float) -> None:
+        self.promotion.on_status_read(result, now_s)
+
+    @handles(ServerPromoted)
+    def _on_promoted(self, result: ServerPromoted, now_s: float) -> None:
+        self.promotion.on_promoted(result, now_s)
--- /dev/null
+++ b/pollencleat/inventory/__init__.py
@@ -0,0 +1,1 @@
+"""What operators declare: parsing, comparison and the forecast that follows from it."""
--- /dev/null
+++ b/pollencleat/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The record that lets a request run at most once."""
--- /dev/null
+++ b/pollencleat/journal/pruning.py
@@ -0,0 +1,60 @@
+"""Removes recorded requests past their declared retention."""
+
+import asyncmy.errors
+
+from pollencleat.callers.gateway import Gateway, unix_time_s
+from pollencleat.core.data import Customer
+from pollencleat.core.errors import BackendError, CallerError
+from pollencleat.journal.requests import prune_sql
+from pollencleat.membership.fleet import rank_members
+
+PRUNE_EVERY_S = 60.0
+PRUNING_CUSTOMER = Customer("pollencleat", (), 1)
+
+
+class JournalPruner:
+    """Prunes each group's journal from one member."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        """Use the node's pools."""
+        self._gateway = gateway
+        self._pruned_at_s: dict[str, float] = {}
+
+    def tick(self) -> None:
+        """Start pruning the groups that are due."""
+        gateway = self._gateway
+        now_s = gateway.clock()
+        for group_id in gateway.board.inventory.groups_by_id:
+            last_s = self._pruned_at_s.setdefault(group_id, now_s)
+            if now_s - last_s < PRUNE_EVERY_S or not self._is_responsible(group_id):
+                continue
+            self._pruned_at_s[group_id] = now_s
+            gateway.start(self._prune(group_id))
+
+    def _is_responsible(self, group_id: str) -> bool:
+        board = self._gateway.board
+        members = list(board.fleet.members_by_id.values())
+        ranked = rank_members(f"prune\0{group_id}", members)
+        return bool(ranked) and ranked[0].node_id == board.node_id
+
+    async def _prune(self, group_id: str) -> None:
+        gateway = self._gateway
+        retention_s = gateway.board.inventory.rules.request_retention_s
+        lease = None
+        reusable = False
+        try:
+            term = gateway.require_writable(group_id)
+            lease = await gateway.borrow(
+                term.primary, PRUNING_CUSTOMER, term.term, gateway.queue_deadline_s()
+            )
+            await lease.connection.run(prune_sql(unix_time_s() - retention_s))
+            reusable = True
+            gateway.metrics.count("journal_pruned", group_id)
+        except asyncmy.errors.MySQLError:
+            # The journal is created by the first request; until then it is missing.
+            reusable = True
+        except (BackendError, CallerError):
+            gateway.metrics.count("journal_prune_failed", group_id)
+        finally:
+            if lease is not None:
+                lease.give_back(reusable)
--- /dev/null
+++ b/pollencleat/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, retry budgets and connection shares."""
--- /dev/null
+++ b/pollencleat/membership/fleet.py
@@ -0,0 +1,247 @@
+"""Changes of the fleet state, as pure functions.
+
+Each returns a new state with the old version; the platform assigns the next version
+when the conditional update succeeds.
+"""
+
+import functools
+from dataclasses import replace
+
+import xxhash
+
+from pollencleat.core.data import (
+    AuditEntry,
+    Fleet,
+    GroupTerm,
+    Member,
+    Promotion,
+    RemovedMember,
+    TermStart,
+)
+
+NO_SEAT = -1
+"""Seat of a member for which no connection share is free."""
+
+HISTORY_KEPT = 32
+"""Terms of a group that stay in the fleet state."""
+
+AUDIT_KEPT = 200
+"""Promotions whose audit entries stay in the fleet state."""
+
+
+def with_member(fleet: Fleet, member: Member, seats: int) -> Fleet:
+    """Register a member and give it a free seat.
+
+    The first member of a fleet that nobody was forced out of may promote at once:
+    nobody else can hold a write permit.  Every other newcomer has to be vouched for.
+
+    Args:
+        fleet: The state to start from.
+        member: The newcomer; its seat and may_promote are ignored.
+        seats: Number of seats declared.
+
+    Returns:
+        The changed state.
+    """
+    members_by_id = dict(fleet.members_by_id)
+    removed = dict(fleet.removed_by_incarnation)
+    previous = members_by_id.pop(member.node_id, None)
+    if previous is not None:
+        removed[previous.incarnation] = RemovedMember(
+            previous.node_id, previous.incarnation, False, fleet.version + 1
+        )
+    forced_out = any(not entry.resigned for entry in removed.values())
+    alone = not members_by_id and not forced_out
+    if previous is not None:
+        seat = previous.seat
+    else:
+        seat = _find_free_seat(members_by_id, seats)
+    members_by_id[member.node_id] = replace(member, seat=seat, may_promote=alone)
+    return replace(fleet, members_by_id=members_by_id, removed_by_incarnation=removed)
+
+
+def _find_free_seat(members_by_id: dict[str, Member], seats: int) -> int:
+    taken = {member.seat for member in members_by_id.values()}
+    for seat in range(seats):
+        if seat not in taken:
+            return seat
+    return NO_SEAT
+
+
+def with_free_seats_taken(fleet: Fleet, seats: int) -> Fleet:
+    """Seat members that found no free seat when they registered.
+
+    Args:
+        fleet: The state to start from.
+        seats: Number of seats declared.
+
+    Returns:
+        The changed state; equal to the given one if nobody could be seated.
+    """
+    members_by_id = dict(fleet.members_by_id)
+    for node_id, member in sorted(members_by_id.items()):
+        if member.seat != NO_SEAT:
+            continue
+        seat = _find_free_seat(members_by_id, seats)
+        members_by_id[node_id] = replace(member, seat=seat)
+    return replace(fleet, members_by_id=members_by_id)
+
+
+def without_member(fleet: Fleet, node_id: str, resigned: bool) -> Fleet:
+    """Remove a member.
+
+    Args:
+        fleet: The state to start from.
+        node_id: A member.
+        resigned: It gave up its write permit by itself.
+
+    Returns:
+        The changed state.
+    """
+    members_by_id = dict(fleet.members_by_id)
+    member = members_by_id.pop(node_id)
+    removed = dict(fleet.removed_by_incarnation)
+    removed[member.incarnation] = RemovedMember(
+        node_id, member.incarnation, resigned, fleet.version + 1
+    )
+    return replace(fleet, members_by_id=members_by_id, removed_by_incarnation=removed)
+
+
+def with_voucher(fleet: Fleet, node_id: str) -> Fleet:
+    """Let a member promote.
+
+    Args:
+        fleet: The state to start from.
+        node_id: The member that is vouched for.
+
+    Returns:
+        The changed state.
+    """
+    members_by_id = dict(fleet.members_by_id)
+    members_by_id[node_id] = replace(members_by_id[node_id], may_promote=True)
+    return replace(fleet, members_by_id=members_by_id)
+
+
+def without_removed(fleet: Fleet, incarnations: list[str]) -> Fleet:
+    """Forget former members whose permits lapsed long ago.
+
+    Args:
+        fleet: The state to start from.
+        incarnations: Incarnations to forget.
+
+    Returns:
+        The changed state.
+    """
+    removed = {
+        incarnation: entry
+        for incarnation, entry in fleet.removed_by_incarnation.items()
+        if incarnation not in incarnations
+    }
+    return replace(fleet, removed_by_incarnation=removed)
+
+
+def with_promotion_started(fleet: Fleet, group_id: str, promotion: Promotion) -> Fleet:
+    """Move a group to the next term, with no primary until one is published.
+
+    Args:
+        fleet: The state to start from.
+        group_id: The group.
+        promotion: Who does it and why.
+
+    Returns:
+        The changed state.
+    """
+    current = fleet.terms_by_group.get(group_id) or GroupTerm(group_id, 0, "")
+    started = replace(current, term=current.term + 1, primary="", promotion=promotion)
+    terms = {**fleet.terms_by_group, group_id: started}
+    return replace(fleet, terms_by_group=terms)
+
+
+def with_primary_published(
+    fleet: Fleet, group_id: str, server_id: str, start_position: int
+) -> Fleet:
+    """End a promotion.
+
+    Args:
+        fleet: A state in which the promotion is in progress.
+        group_id: The group.
+        server_id: The new primary.
+        start_position: Its log position when it began to accept writes.
+
+    Returns:
+        The changed state.
+    """
+    current = fleet.terms_by_group[group_id]
+    history = (*current.history, TermStart(current.term, start_position))
+    published = replace(
+        current, primary=server_id, promotion=None, history=history[-HISTORY_KEPT:]
+    )
+    terms = {**fleet.terms_by_group, group_id: published}
+    return replace(fleet, terms_by_group=terms)
+
+
+def with_audit_entry(fleet: Fleet, entry: AuditEntry) -> Fleet:
+    """Add an audit entry to the change that it describes.
+
+    Args:
+        fleet: The changed state.
+        entry: What was changed.
+
+    Returns:
+        The state with the entry; the oldest is dropped beyond the limit.
+    """
+    return replace(fleet, audit=(*fleet.audit, entry)[-AUDIT_KEPT:])
+
+
+def rank_members(key: str, members: list[Member]) -> list[Member]:
+    """Order members by rendezvous hash.
+
+    Args:
+        key: What a member is chosen for.
+        members: Candidates.
+
+    Returns:
+        The candidates, the first choice first.
+    """
+    return sorted(
+        members,
+        key=lambda member: xxhash.xxh64_intdigest(f"{key}\0{member.node_id}".encode()),
+        reverse=True,
+    )
+
+
+@functools.lru_cache(maxsize=8)
+def _index_domains(members: tuple[Member, ...]) -> dict[str, tuple[Member, ...]]:
+    by_domain: dict[str, list[Member]] = {}
+    for member in members:
+        by_domain.setdefault(member.failure_domain, []).append(member)
+    return {
+        domain: tuple(rank_members(domain, listed))
+        for domain, listed in by_domain.items()
+    }
+
+
+def members_by_domain(fleet: Fleet) -> dict[str, tuple[Member, ...]]:
+    """Return the members of each failure domain in relay order.
+
+    Args:
+        fleet: A fleet state.
+
+    Returns:
+        Failure domain to members, first choice of relay first.
+    """
+    return _index_domains(tuple(fleet.members_by_id.values()))
+
+
+@functools.lru_cache(maxsize=256)
+def members_key(members: tuple[Member, ...]) -> int:
+    """Return a digest that is equal only for equal sets of incarnations.
+
+    Args:
+        members: Members of one failure domain.
+
+    Returns:
+        A 64-bit digest.
+    """
+    names = sorted(f"{member.node_id}\0{member.incarnation}" for member in members)
+    return xxhash.xxh64_intdigest("\n".join(names).encode())
--- /dev/null
+++ b/pollencleat/membership/registration.py
@@ -0,0 +1,191 @@
+"""Joining, vouching, leaving and removing.
+
+A newcomer may promote a server only after an existing member has vouched for it.  The
+member does so once all promises that it gave without knowing the newcomer have lapsed;
+from then on nobody can count its promises without also requiring the newcomer's.
+"""
+
+import dataclasses
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import (
+    CLOCK_DRIFT,
+    EVICT_AFTER_S,
+    PERMIT_S,
+    PROMISE_S,
+)
+from pollencleat.core.data import Fleet, Member, RemovedMember
+from pollencleat.core.effects import FleetUpdated, UpdateFleet
+from pollencleat.membership.beats import find_relay
+from pollencleat.membership.fleet import (
+    NO_SEAT,
+    rank_members,
+    with_free_seats_taken,
+    with_member,
+    with_voucher,
+    without_member,
+    without_removed,
+)
+
+PURPOSE = "membership"
+READ_IS_RECENT_S = 1.5
+"""A change is tried only if the platform answered within this time."""
+
+RETRY_S = 0.3
+"""Shortest time between two changes that this node tries."""
+
+VOUCH_AFTER_S = PROMISE_S * (1 + 3 * CLOCK_DRIFT)
+FORGET_AFTER_S = 8 * PERMIT_S
+"""A removed member is forgotten after this time."""
+
+
+class RegistrationController:
+    """Keeps this node registered and the list of members clean."""
+
+    def __init__(self, board: Blackboard) -> None:
+        """Work on a blackboard."""
+        self.board = board
+        self._pending = False
+        self._tried_at_s = -1e9
+
+    def tick(self, now_s: float) -> None:
+        """Try at most one change.
+
+        Args:
+            now_s: Local time.
+        """
+        board = self.board
+        if self._pending or now_s - board.read_answered_at_s > READ_IS_RECENT_S:
+            return
+        if now_s - self._tried_at_s < RETRY_S * (1 + board.random.random()):
+            return
+        change = self._choose_change(now_s)
+        if change is None:
+            return
+        fleet, cause = change
+        self._pending = True
+        self._tried_at_s = now_s
+        board.effects.append(UpdateFleet(PURPOSE, board.fleet.version, fleet, cause))
+
+    def on_updated(self, result: FleetUpdated, now_s: float) -> None:
+        """Take in the result; a lost answer is settled by the next platform read.
+
+        Args:
+            result: The result.
+            now_s: Local time.
+        """
+        self._pending = False
+        if not result.version:
+            return
+        fleet = dataclasses.replace(result.effect.fleet, version=result.version)
+        self.board.adopt_fleet(fleet, now_s)
+
+    def _choose_change(self, now_s: float) -> tuple[Fleet, str] | None:
+        board = self.board
+        if board.resigning:
+            if not board.is_member():
+                return None
+            fleet = without_member(board.fleet, board.node_id, resigned=True)
+            return fleet, f"member {board.node_id} resigned"
+        if not board.is_member():
+            return self._register(), f"member {board.node_id} registered"
+        return (
+            self._vouch(now_s)
+            or self._evict(now_s)
+            or self._seat()
+            or self._forget(now_s)
+        )
+
+    def _register(self) -> Fleet:
+        board = self.board
+        member = Member(
+            board.node_id,
+            board.incarnation,
+            board.failure_domain,
+            board.address,
+            board.admin_address,
+            NO_SEAT,
+            False,
+        )
+        return with_member(board.fleet, member, board.inventory.rules.seats)
+
+    def _vouch(self, now_s: float) -> tuple[Fleet, str] | None:
+        board = self.board
+        me = board.fleet.members_by_id[board.node_id]
+        if not me.may_promote:
+            return self._vouch_for_itself(now_s)
+        for member in board.fleet.members_by_id.values():
+            if member.may_promote:
+                continue
+            known_for_s = now_s - board.member_seen_at_s[member.incarnation]
+            if known_for_s < VOUCH_AFTER_S:
+                continue
+            fleet = with_voucher(board.fleet, member.node_id)
+            return fleet, f"member {member.node_id} vouched for by {board.node_id}"
+        return None
+
+    def _vouch_for_itself(self, now_s: float) -> tuple[Fleet, str] | None:
+        board = self.board
+        limit_s = board.inventory.rules.outage_limit_s * (1 + 3 * CLOCK_DRIFT)
+        if board.registered_at_s is None or now_s - board.registered_at_s < limit_s:
+            return None
+        fleet = with_voucher(board.fleet, board.node_id)
+        return fleet, f"member {board.node_id} waited for the outage limit"
+
+    def _evict(self, now_s: float) -> tuple[Fleet, str] | None:
+        board = self.board
+        if not board.vms.version:
+            return None
+        for member in board.fleet.members_by_id.values():
+            if member.node_id in board.vms.live or member.node_id == board.node_id:
+                continue
+            if not self._is_silent(member, now_s):
+                continue
+            if self._find_evictor(member, now_s) != board.node_id:
+                continue
+            fleet = without_member(board.fleet, member.node_id, resigned=False)
+            return fleet, f"member {member.node_id} gone, removed by {board.node_id}"
+        return None
+
+    def _is_silent(self, member: Member, now_s: float) -> bool:
+        board = self.board
+        known_at_s = board.member_seen_at_s[member.incarnation]
+        peer = board.peers_by_id.get(member.node_id)
+        heard_at_s = peer.heard_at_s if peer else known_at_s
+        return now_s - max(heard_at_s, known_at_s) > EVICT_AFTER_S
+
+    def _find_evictor(self, member: Member, now_s: float) -> str | None:
+        relay = find_relay(self.board, member.failure_domain, now_s)
+        if relay is not None:
+            return relay.node_id
+        others = list(self.board.fleet.members_by_id.values())
+        for candidate in rank_members("evict", others):
+            if candidate.node_id in self.board.vms.live:
+                return candidate.node_id
+        return None
+
+    def _seat(self) -> tuple[Fleet, str] | None:
+        board = self.board
+        fleet = with_free_seats_taken(board.fleet, board.inventory.rules.seats)
+        if fleet == board.fleet:
+            return None
+        return fleet, "free seats taken"
+
+    def _forget(self, now_s: float) -> tuple[Fleet, str] | None:
+        board = self.board
+        ranked = rank_members("forget", list(board.fleet.members_by_id.values()))
+        if ranked[0].node_id != board.node_id:
+            return None
+        old = [
+            incarnation
+            for incarnation, entry in board.fleet.removed_by_incarnation.items()
+            if now_s - board.removed_seen_at_s[incarnation] > self._keep_for_s(entry)
+        ]
+        if not old:
+            return None
+        return without_removed(board.fleet, old), "former members forgotten"
+
+    def _keep_for_s(self, entry: RemovedMember) -> float:
+        if entry.resigned:
+            return FORGET_AFTER_S
+        return max(FORGET_AFTER_S, self.board.inventory.rules.outage_limit_s)
--- /dev/null
+++ b/pollencleat/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry VMs over ZeroMQ."""
--- /dev/null
+++ b/pollencleat/peers/transport.py
@@ -0,0 +1,178 @@
+"""Sends and receives peer messages, encrypted and authenticated.
+
+All entry VMs of a deployment share one CURVE key pair from their settings.  A server
+accepts only clients that prove to hold it, so that nobody else can forge a heartbeat
+or a promise.  Messages may be lost at any time; nothing depends on their arrival.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import zmq
+import zmq.asyncio
+import zmq.auth
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from pollencleat.core.messages import PeerMessage, decode_message, encode_message
+
+SEND_QUEUE_MESSAGES = 64
+"""Messages that wait for a peer; more are dropped."""
+
+IDLE_CLOSE_S = 30.0
+HANDSHAKE_LIMIT_MS = 3_000
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+ZAP_DOMAIN = b"pollencleat"
+
+
+@dataclass(frozen=True, slots=True)
+class CurveKeys:
+    """The deployment's key pair, Z85 text as bytes."""
+
+    public: bytes
+    secret: bytes
+
+
+class OneKeyProvider:
+    """Accepts exactly one client key."""
+
+    def __init__(self, public: bytes) -> None:
+        """Accept the given Z85 key."""
+        self._public = public
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client may connect.
+
+        Args:
+            domain: The ZAP domain.
+            key: The client's Z85 key.
+
+        Returns:
+            True for the deployment's key.
+        """
+        return key == self._public
+
+
+@dataclass(eq=False, slots=True)
+class _Outgoing:
+    socket: zmq.Socket
+    address: str
+    used_at_s: float
+
+
+class PeerTransport:
+    """One listening socket, and a connecting socket for each peer in use."""
+
+    def __init__(
+        self,
+        keys: CurveKeys,
+        on_message: Callable[[PeerMessage], None],
+        clock: Callable[[], float],
+        on_malformed: Callable[[], None],
+    ) -> None:
+        """Deliver each message to a callback."""
+        self._keys = keys
+        self._on_message = on_message
+        self._on_malformed = on_malformed
+        self._clock = clock
+        self._context = zmq.asyncio.Context()
+        self._authenticator: AsyncioAuthenticator | None = None
+        self._listener: zmq.asyncio.Socket | None = None
+        self._outgoing_by_address: dict[str, _Outgoing] = {}
+        self._task: asyncio.Task | None = None
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self.bytes_received = 0
+
+    def start(self, endpoint: str) -> str:
+        """Listen.
+
+        Args:
+            endpoint: ``tcp://host:port``; port 0 lets the system choose.
+
+        Returns:
+            The endpoint with its port.
+        """
+        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            domain=ZAP_DOMAIN.decode(),
+            credentials_provider=OneKeyProvider(self._keys.public),
+        )
+        listener = self._context.socket(zmq.PULL)
+        listener.linger = 0
+        listener.curve_publickey = self._keys.public
+        listener.curve_secretkey = self._keys.secret
+        listener.curve_server = True
+        listener.zap_domain = ZAP_DOMAIN
+        listener.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        listener.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_LIMIT_MS)
+        listener.bind(endpoint)
+        self._listener = listener
+        self._task = asyncio.get_running_loop().create_task(self._receive())
+        return listener.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\0")
+
+    async def _receive(self) -> None:
+        while True:
+            payload = await self._listener.recv()
+            self.bytes_received += len(payload)
+            try:
+                message = decode_message(payload)
+            except msgspec.MsgspecError:
+                self._on_malformed()
+                continue
+            self._on_message(message)
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send a message, or drop it if the peer does not take any.
+
+        Args:
+            address: The peer's endpoint.
+            message: What to send.
+        """
+        outgoing = self._outgoing_by_address.get(address)
+        if outgoing is None:
+            outgoing = self._connect(address)
+        outgoing.used_at_s = self._clock()
+        payload = encode_message(message)
+        try:
+            outgoing.socket.send(payload, zmq.NOBLOCK)
+        except zmq.Again:
+            return
+        self.bytes_sent += len(payload)
+        self.messages_sent += 1
+
+    def _connect(self, address: str) -> _Outgoing:
+        socket = zmq.Context(self._context).socket(zmq.PUSH)
+        socket.linger = 0
+        socket.curve_publickey = self._keys.public
+        socket.curve_secretkey = self._keys.secret
+        socket.curve_serverkey = self._keys.public
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.RECONNECT_IVL, 100)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
+        socket.connect(address)
+        outgoing = _Outgoing(socket, address, self._clock())
+        self._outgoing_by_address[address] = outgoing
+        return outgoing
+
+    def close_unused(self) -> None:
+        """Close connections to peers that were not sent to for a while."""
+        now_s = self._clock()
+        for address, outgoing in list(self._outgoing_by_address.items()):
+            if now_s - outgoing.used_at_s > IDLE_CLOSE_S:
+                outgoing.socket.close()
+                del self._outgoing_by_address[address]
+
+    def close(self) -> None:
+        """Close all sockets."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        for outgoing in self._outgoing_by_address.values():
+            outgoing.socket.close()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
--- /dev/null
+++ b/pollencleat/promotion/controller.py
@@ -0,0 +1,509 @@
+"""Starts and carries out changes of primary.
+
+The start of a term is one conditional update of the fleet state, so that there is one
+winner.  While its own update may be under way the node gives no promises.  Afterwards
+it may promise again: its promises then carry a fleet version that names the new term,
+and a receiver adopts that version before it counts the promise.
+"""
+
+import dataclasses
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import FAILOVER_AFTER_S
+from pollencleat.core.data import AuditEntry, Fleet, GroupTerm, Promotion
+from pollencleat.core.effects import (
+    FenceServer,
+    FleetUpdated,
+    FollowPrimary,
+    PromoteServer,
+    ReadServerStatus,
+    ServerFenced,
+    ServerPromoted,
+    ServerStatusRead,
+    UpdateFleet,
+)
+from pollencleat.core.messages import (
+    Sighting,
+    SightingRequest,
+    State,
+    StopWrites,
+    WritesStopped,
+)
+from pollencleat.membership.fleet import (
+    rank_members,
+    with_audit_entry,
+    with_primary_published,
+    with_promotion_started,
+)
+from pollencleat.promotion.attempt import (
+    Attempt,
+    Phase,
+    begin_attempt,
+    choose_server,
+    is_caught_up,
+)
+from pollencleat.promotion.suspicion import (
+    PeerSighting,
+    Suspicion,
+    assess_primary,
+    is_seen_by_peer,
+)
+
+START_PURPOSE = "promotion start"
+PUBLISH_PURPOSE = "promotion publish"
+
+READ_IS_RECENT_S = 1.2
+"""A promotion is begun only if the platform was read within this time."""
+
+ASK_PEERS_S = 0.15
+"""How long answers to a sighting request are waited for."""
+
+RANK_DELAY_S = 0.25
+"""Each further candidate waits this much longer before it begins."""
+
+TAKE_OVER_AFTER_S = 6.0
+"""A promotion by somebody else that lasts longer is taken over."""
+
+ASK_AGAIN_S = 0.1
+"""Time between two questions to a server, and between repeated messages."""
+
+CHOOSE_WAIT_S = 0.4
+"""How long servers that do not answer are waited for."""
+
+CATCH_UP_LIMIT_S = 5.0
+"""How long a chosen replica may take to apply what it has to."""
+
+STEP_LIMIT_S = 1.5
+"""How long a command to a server may stay unanswered."""
+
+TAKEN_OVER_CAUSE = "promotion taken over"
+WARM_UP_S = 1.0
+"""A node judges primaries only after it has run this long."""
+
+
+@dataclasses.dataclass
+class Suspect:
+    """A group whose primary this node would replace."""
+
+    suspicion: Suspicion
+    since_s: float
+    asked_at_s: float = -1e9
+    sightings_by_node: dict[str, PeerSighting] = dataclasses.field(default_factory=dict)
+
+
+class PromotionController:
+    """Runs on every node; the conditional update decides who promotes."""
+
+    def __init__(self, board: Blackboard, started_at_s: float) -> None:
+        """Work on a blackboard from a local time on."""
+        self.board = board
+        self.started_at_s = started_at_s
+        self.attempts_by_group: dict[str, Attempt] = {}
+        self.suspects_by_group: dict[str, Suspect] = {}
+        self.foreign_since_s: dict[str, tuple[str, float]] = {}
+        self._start_pending: UpdateFleet | None = None
+        self._start_unknown = False
+        self._publish_pending: set[str] = set()
+        self._attempt_counter = 0
+
+    def tick(self, now_s: float) -> None:
+        """Look at every group and advance own attempts.
+
+        Args:
+            now_s: Local time.
+        """
+        self._settle_unknown_start()
+        self._adopt_own_attempts(now_s)
+        self._advance_attempts(now_s)
+        if self._may_start(now_s):
+            self._start_due_promotions(now_s)
+
+    # Starting.
+
+    def _may_start(self, now_s: float) -> bool:
+        board = self.board
+        if not board.is_member() or board.draining or self._start_pending:
+            return False
+        if not board.fleet.members_by_id[board.node_id].may_promote:
+            return False
+        if now_s - self.started_at_s < WARM_UP_S:
+            return False
+        return now_s - board.fresh_at_s < READ_IS_RECENT_S
+
+    def _start_due_promotions(self, now_s: float) -> None:
+        board = self.board
+        fleet = board.fleet
+        causes = []
+        for group_id in board.inventory.groups_by_id:
+            promotion = self._due_promotion(group_id, now_s)
+            if promotion is None:
+                continue
+            fleet = with_promotion_started(fleet, group_id, promotion)
+            causes.append(f"{group_id}: {promotion.cause}")
+        if not causes:
+            return
+        board.promoting = True
+        effect = UpdateFleet(
+            START_PURPOSE, board.fleet.version, fleet, "; ".join(causes)
+        )
+        self._start_pending = effect
+        board.effects.append(effect)
+
+    def _due_promotion(self, group_id: str, now_s: float) -> Promotion | None:
+        term = self.board.group_term(group_id)
+        if term is not None and term.promotion is not None:
+            self.suspects_by_group.pop(group_id, None)
+            if not self._is_take_over_due(term, now_s):
+                return None
+            return self._make_promotion(
+                term.promotion.old_primary, False, TAKEN_OVER_CAUSE
+            )
+        self.foreign_since_s.pop(group_id, None)
+        suspicion = assess_primary(self.board, term, now_s)
+        if suspicion is Suspicion.NONE:
+            self.suspects_by_group.pop(group_id, None)
+            return None
+        suspect = self.suspects_by_group.get(group_id)
+        if suspect is None or suspect.suspicion is not suspicion:
+            suspect = Suspect(suspicion, now_s)
+            self.suspects_by_group[group_id] = suspect
+        if not self._is_suspect_due(group_id, term, suspect, now_s):
+            return None
+        old_primary = term.primary if term else ""
+        planned = suspicion is Suspicion.LEAVING
+        return self._make_promotion(old_primary, planned, suspicion.value)
+
+    def _is_suspect_due(
+        self, group_id: str, term: GroupTerm | None, suspect: Suspect, now_s: float
+    ) -> bool:
+        wait_s = self._rank(group_id) * RANK_DELAY_S
+        if suspect.suspicion is Suspicion.LOST:
+            self._ask_peers(term.primary, suspect, now_s)
+            wait_s += ASK_PEERS_S
+            for sighting in suspect.sightings_by_node.values():
+                if is_seen_by_peer(sighting, now_s):
+                    return False
+        if not self._has_candidate(group_id, term, now_s):
+            return False
+        return now_s - suspect.since_s >= wait_s
+
+    def _has_candidate(
+        self, group_id: str, term: GroupTerm | None, now_s: float
+    ) -> bool:
+        board = self.board
+        for server_id in board.inventory.groups_by_id[group_id].server_ids:
+            if term is not None and server_id == term.primary:
+                continue
+            if now_s - board.server(server_id).answered_at_s < FAILOVER_AFTER_S:
+                return True
+        return term is None
+
+    def _rank(self, group_id: str) -> int:
+        candidates = [
+            member
+            for member in self.board.fleet.members_by_id.values()
+            if member.may_promote
+        ]
+        ranked = rank_members(group_id, candidates)
+        ids = [member.node_id for member in ranked]
+        return min(ids.index(self.board.node_id), 8)
+
+    def _ask_peers(self, server_id: str, suspect: Suspect, now_s: float) -> None:
+        if now_s - suspect.asked_at_s < ASK_AGAIN_S:
+            return
+        suspect.asked_at_s = now_s
+        for node_id in self.board.fleet.members_by_id:
+            if node_id == self.board.node_id:
+                continue
+            self.board.send(node_id, SightingRequest(self.board.node_id, server_id))
+
+    def on_sighting(self, sighting: Sighting, now_s: float) -> None:
+        """Take in a peer's report about a suspected primary.
+
+        Args:
+            sighting: The report; its age is counted from its arrival, which errs
+                towards keeping the primary.
+            now_s: Local time.
+        """
+        for group_id, suspect in self.suspects_by_group.items():
+            term = self.board.group_term(group_id)
+            if term is None or term.primary != sighting.server_id:
+                continue
+            age_s = sighting.age_s if sighting.age_s is not None else 1e9
+            suspect.sightings_by_node[sighting.node_id] = PeerSighting(
+                now_s - age_s, sighting.refused, now_s
+            )
+
+    def _is_take_over_due(self, term: GroupTerm, now_s: float) -> bool:
+        promotion = term.promotion
+        if term.group_id in self.attempts_by_group:
+            return False
+        attempt_id, since_s = self.foreign_since_s.get(term.group_id, ("", now_s))
+        if attempt_id != promotion.attempt_id:
+            since_s = now_s
+            self.foreign_since_s[term.group_id] = (promotion.attempt_id, now_s)
+        wait_s = self._rank(term.group_id) * RANK_DELAY_S
+        owner = self.board.fleet.members_by_id.get(promotion.node_id)
+        owner_is_gone = owner is None or owner.incarnation != promotion.incarnation
+        if not owner_is_gone:
+            wait_s += TAKE_OVER_AFTER_S
+        return now_s - since_s >= wait_s
+
+    def _make_promotion(self, old_primary: str, planned: bool, cause: str) -> Promotion:
+        board = self.board
+        self._attempt_counter += 1
+        attempt_id = f"{board.incarnation}/{self._attempt_counter}"
+        return Promotion(
+            attempt_id, board.node_id, board.incarnation, old_primary, planned, cause
+        )
+
+    def on_updated(self, result: FleetUpdated, now_s: float) -> None:
+        """Take in the result of an update that this controller asked for.
+
+        Args:
+            result: The result; a lost answer is settled when a newer version is known.
+            now_s: Local time.
+        """
+        board = self.board
+        if result.effect.purpose == PUBLISH_PURPOSE:
+            self._publish_pending.clear()
+        if result.version:
+            fleet = dataclasses.replace(result.effect.fleet, version=result.version)
+            board.adopt_fleet(fleet, now_s)
+            self._tell_members()
+        if result.effect.purpose != START_PURPOSE:
+            return
+        if result.version is None:
+            self._start_unknown = True
+            return
+        self._end_start()
+        self._adopt_own_attempts(now_s)
+
+    def _tell_members(self) -> None:
+        """Spread a new primary at once instead of with the next heartbeats."""
+        board = self.board
+        for node_id in board.fleet.members_by_id:
+            if node_id != board.node_id:
+                board.send(node_id, State(board.node_id, board.fleet, None, None))
+
+    def _settle_unknown_start(self) -> None:
+        if not self._start_unknown:
+            return
+        if self.board.fleet.version > self._start_pending.expected_version:
+            self._end_start()
+
+    def _end_start(self) -> None:
+        self._start_pending = None
+        self._start_unknown = False
+        self.board.promoting = False
+
+    # Carrying out.
+
+    def _adopt_own_attempts(self, now_s: float) -> None:
+        board = self.board
+        for group_id, term in board.fleet.terms_by_group.items():
+            promotion = term.promotion
+            if promotion is None or promotion.incarnation != board.incarnation:
+                continue
+            running = self.attempts_by_group.get(group_id)
+            if running and running.promotion.attempt_id == promotion.attempt_id:
+                continue
+            attempt = begin_attempt(board, term, now_s)
+            self.attempts_by_group[group_id] = attempt
+            self._ask_to_stop(attempt, now_s)
+            if promotion.old_primary:
+                board.effects.append(
+                    FenceServer(promotion.attempt_id, promotion.old_primary, term.term)
+                )
+
+    def _advance_attempts(self, now_s: float) -> None:
+        for group_id, attempt in list(self.attempts_by_group.items()):
+            term = self.board.group_term(group_id)
+            promotion = term.promotion
+            if promotion is None or promotion.attempt_id != (
+                attempt.promotion.attempt_id
+            ):
+                del self.attempts_by_group[group_id]
+                continue
+            if attempt.phase is Phase.STOPPING:
+                self._advance_stopping(attempt, now_s)
+            if attempt.phase is Phase.CHOOSING:
+                self._advance_choosing(attempt, now_s)
+            if attempt.phase is Phase.PROMOTING:
+                self._advance_promoting(attempt, now_s)
+            if attempt.phase is Phase.PUBLISHING:
+                self._advance_publishing(attempt)
+
+    def _advance_stopping(self, attempt: Attempt, now_s: float) -> None:
+        if not attempt.waiting_for or now_s >= attempt.slow_deadline_s:
+            attempt.enter(Phase.CHOOSING, now_s)
+            return
+        if now_s - attempt.asked_at_s >= ASK_AGAIN_S:
+            self._ask_to_stop(attempt, now_s)
+
+    def _ask_to_stop(self, attempt: Attempt, now_s: float) -> None:
+        board = self.board
+        attempt.asked_at_s = now_s
+        message = StopWrites(board.node_id, attempt.promotion.attempt_id, board.fleet)
+        for member in board.fleet.members_by_id.values():
+            if member.incarnation in attempt.waiting_for:
+                board.send(member.node_id, message)
+
+    def on_writes_stopped(self, message: WritesStopped, now_s: float) -> None:
+        """Take in a member's confirmation.
+
+        Args:
+            message: The confirmation.
+            now_s: Local time.
+        """
+        for attempt in self.attempts_by_group.values():
+            if attempt.promotion.attempt_id != message.attempt_id:
+                continue
+            attempt.waiting_for.discard(message.incarnation)
+        self._advance_attempts(now_s)
+
+    def on_fenced(self, result: ServerFenced) -> None:
+        """Take in the old primary's final status.
+
+        Args:
+            result: The status, or None if the server could not be fenced.
+        """
+        for attempt in self.attempts_by_group.values():
+            if attempt.promotion.attempt_id != result.attempt_id:
+                continue
+            if attempt.promotion.old_primary == result.server_id:
+                attempt.old_status = result.status
+
+    def _advance_choosing(self, attempt: Attempt, now_s: float) -> None:
+        server_ids = self.board.inventory.groups_by_id[attempt.group_id].server_ids
+        if now_s - attempt.asked_at_s >= CHOOSE_WAIT_S:
+            attempt.asked_at_s = now_s
+            attempt.statuses_by_server = {}
+            for server_id in server_ids:
+                self.board.effects.append(
+                    ReadServerStatus(attempt.promotion.attempt_id, server_id)
+                )
+
+    def on_status_read(self, result: ServerStatusRead, now_s: float) -> None:
+        """Take in a server's answer; choose once enough are there.
+
+        Args:
+            result: The answer.
+            now_s: Local time.
+        """
+        for attempt in self.attempts_by_group.values():
+            if attempt.promotion.attempt_id != result.attempt_id:
+                continue
+            group = self.board.inventory.groups_by_id[attempt.group_id]
+            if result.server_id not in group.server_ids:
+                continue
+            if attempt.phase is not Phase.CHOOSING:
+                continue
+            attempt.statuses_by_server[result.server_id] = result.status
+            self._choose(attempt, group.server_ids, now_s)
+
+    def _choose(
+        self, attempt: Attempt, server_ids: tuple[str, ...], now_s: float
+    ) -> None:
+        others = [name for name in server_ids if name != attempt.promotion.old_primary]
+        missing = [name for name in others if name not in attempt.statuses_by_server]
+        waited_s = now_s - attempt.phase_since_s
+        if missing and waited_s < CHOOSE_WAIT_S:
+            return
+        leaving = self.board.vms.leaving
+        if attempt.promotion.planned:
+            leaving = (*leaving, attempt.promotion.old_primary)
+        chosen = choose_server(attempt, server_ids, leaving)
+        if chosen is None:
+            return
+        if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
+            if len(attempt.statuses_by_server) == len(server_ids):
+                attempt.asked_at_s = now_s - CHOOSE_WAIT_S + ASK_AGAIN_S
+            return
+        attempt.chosen = chosen
+        attempt.enter(Phase.PROMOTING, now_s)
+        self._advance_promoting(attempt, now_s)
+
+    def _advance_promoting(self, attempt: Attempt, now_s: float) -> None:
+        if now_s - attempt.phase_since_s > STEP_LIMIT_S:
+            attempt.enter(Phase.CHOOSING, now_s)
+            return
+        if attempt.asked_at_s > 0:
+            return
+        attempt.asked_at_s = now_s
+        self.board.effects.append(
+            PromoteServer(attempt.promotion.attempt_id, attempt.chosen, attempt.term)
+        )
+
+    def on_promoted(self, result: ServerPromoted, now_s: float) -> None:
+        """Take in whether the chosen server accepts writes now.
+
+        Args:
+            result: Its start position, or None.
+            now_s: Local time.
+        """
+        for attempt in self.attempts_by_group.values():
+            if attempt.promotion.attempt_id != result.attempt_id:
+                continue
+            if attempt.phase is not Phase.PROMOTING:
+                continue
+            if attempt.chosen != result.server_id:
+                continue
+            if result.start_position is None:
+                attempt.enter(Phase.CHOOSING, now_s)
+                continue
+            attempt.start_position = result.start_position
+            attempt.enter(Phase.PUBLISHING, now_s)
+        self._advance_attempts(now_s)
+
+    def _advance_publishing(self, attempt: Attempt) -> None:
+        board = self.board
+        if self._publish_pending:
+            return
+        fleet: Fleet = board.fleet
+        causes = []
+        for other in self.attempts_by_group.values():
+            if other.phase is not Phase.PUBLISHING:
+                continue
+            if not self._is_current(other):
+                continue
+            fleet = with_primary_published(
+                fleet, other.group_id, other.chosen, other.start_position
+            )
+            self._publish_pending.add(other.group_id)
+            causes.append(f"{other.group_id}: {other.chosen} in term {other.term}")
+            fleet = with_audit_entry(fleet, self._make_audit_entry(other))
+            self._order_replicas(other)
+        if not causes:
+            return
+        board.effects.append(
+            UpdateFleet(PUBLISH_PURPOSE, board.fleet.version, fleet, "; ".join(causes))
+        )
+
+    def _make_audit_entry(self, attempt: Attempt) -> AuditEntry:
+        promotion = attempt.promotion
+        return AuditEntry(
+            promotion.attempt_id,
+            self.board.wall_clock_s,
+            self.board.node_id,
+            f"group {attempt.group_id}",
+            f"primary {promotion.old_primary or 'none'}, term {attempt.term - 1}",
+            f"primary {attempt.chosen}, term {attempt.term}",
+            promotion.cause,
+        )
+
+    def _is_current(self, attempt: Attempt) -> bool:
+        term = self.board.group_term(attempt.group_id)
+        return (
+            term.promotion is not None
+            and term.promotion.attempt_id == attempt.promotion.attempt_id
+        )
+
+    def _order_replicas(self, attempt: Attempt) -> None:
+        group = self.board.inventory.groups_by_id[attempt.group_id]
+        for server_id in group.server_ids:
+            if server_id == attempt.chosen:
+                continue
+            self.board.effects.append(
+                FollowPrimary(server_id, attempt.chosen, attempt.term)
+            )
--- /dev/null
+++ b/pollencleat/promotion/steward.py
@@ -0,0 +1,76 @@
+"""Brings servers back in line with the agreed primary.
+
+A former primary that returns is still writable; no node writes to it, since no permit
+names it, but it must be fenced and follow the new primary before it may serve reads.
+"""
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import GroupTerm
+from pollencleat.core.effects import FollowPrimary
+from pollencleat.membership.fleet import rank_members
+from pollencleat.membership.permits import permit_ends_at
+
+REPEAT_S = 1.0
+"""Time between two orders to the same server."""
+
+
+class StewardController:
+    """Orders replicas to follow the primary, on one member for each group."""
+
+    def __init__(self, board: Blackboard) -> None:
+        """Work on a blackboard."""
+        self.board = board
+        self._ordered_at_s: dict[str, float] = {}
+
+    def tick(self, now_s: float) -> None:
+        """Look at every group that this node is steward of.
+
+        Args:
+            now_s: Local time.
+        """
+        board = self.board
+        if now_s >= permit_ends_at(board):
+            return
+        for group_id, group in board.inventory.groups_by_id.items():
+            term = board.group_term(group_id)
+            if term is None or not term.primary:
+                continue
+            for server_id in group.server_ids:
+                if self._needs_order(server_id, term, now_s):
+                    self._order(server_id, term, now_s)
+
+    def _needs_order(self, server_id: str, term: GroupTerm, now_s: float) -> bool:
+        if server_id == term.primary:
+            return False
+        view = self.board.server(server_id)
+        status = view.status
+        if status is None or now_s - view.answered_at_s > REPEAT_S:
+            return False
+        if status.term > term.term:
+            return False
+        is_in_line = (
+            status.read_only
+            and status.following == term.primary
+            and status.term == term.term
+        )
+        return not is_in_line
+
+    def _order(self, server_id: str, term: GroupTerm, now_s: float) -> None:
+        rank = self._rank(term.group_id)
+        wait_s = REPEAT_S * (1 + rank)
+        ordered_at_s = self._ordered_at_s.get(server_id)
+        if ordered_at_s is None and rank:
+            self._ordered_at_s[server_id] = now_s
+            return
+        if ordered_at_s is not None and now_s - ordered_at_s < wait_s:
+            return
+        self._ordered_at_s[server_id] = now_s
+        self.board.effects.append(FollowPrimary(server_id, term.primary, term.term))
+
+    def _rank(self, group_id: str) -> int:
+        members = list(self.board.fleet.members_by_id.values())
+        ranked = rank_members(f"steward\0{group_id}", members)
+        for index, member in enumerate(ranked):
+            if member.node_id == self.board.node_id:
+                return index
+        return len(ranked)
--- /dev/null
+++ b/pollencleat/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What a node reports of itself: metrics and status."""
--- /dev/null
+++ b/pollencleat/routing/__init__.py
@@ -0,0 +1,1 @@
+"""What a statement is, and which server may answer it."""
--- /dev/null
+++ b/pollencleat/routing/reads.py
@@ -0,0 +1,144 @@
+"""Which server answers a read."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.data import GroupTerm
+from pollencleat.routing.freshness import is_primary_status, is_replica_status
+
+AGE_WEIGHT = 0.1
+"""Statements in use that one second of age counts as."""
+
+OTHER_DOMAIN_LOAD = 0.25
+"""Statements in use that a server in another failure domain counts as."""
+
+SILENT_AFTER_S = 0.6
+"""A replica that has not answered for this long is not read from."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRequest:
+    """What a read needs.
+
+    Attributes:
+        floor: Position that the answer must include.
+        max_age_s: Age limit of the answer; 0 for the primary only.
+    """
+
+    group_id: str
+    floor: int
+    max_age_s: float
+
+
+def choose_replica(
+    board: Blackboard,
+    request: ReadRequest,
+    load_by_server: Mapping[str, float],
+    now_s: float,
+    include_primary: bool = False,
+) -> str | None:
+    """Return the least loaded replica that may answer a read.
+
+    Args:
+        board: The node's state.
+        request: What the read needs.
+        load_by_server: Statements in use or waiting divided by slots.
+        now_s: Local time.
+        include_primary: Treat the known primary like a replica; for nodes that hold
+            no permit and so cannot tell whether it still is the primary.
+
+    Returns:
+        A server id, or None if no replica qualifies.
+    """
+    term = board.fleet.terms_by_group.get(request.group_id)
+    group = board.inventory.groups_by_id.get(request.group_id)
+    if term is None or group is None or request.max_age_s <= 0:
+        return None
+    best = None
+    best_cost = float("inf")
+    for server_id in group.server_ids:
+        view = board.servers_by_id.get(server_id)
+        if view is None or server_id in board.vms.leaving:
+            continue
+        if server_id == term.primary and not include_primary:
+            continue
+        if not can_serve(server_id, view, term, request, now_s):
+            continue
+        server = board.inventory.servers_by_id[server_id]
+        cost = load_by_server.get(server_id, 0.0)
+        cost += AGE_WEIGHT * (now_s - view.fresh_as_of_s)
+        if server.failure_domain != board.failure_domain:
+            cost += OTHER_DOMAIN_LOAD
+        if cost < best_cost:
+            best = server_id
+            best_cost = cost
+    return best
+
+
+def can_serve(
+    server_id: str,
+    view: ServerView,
+    term: GroupTerm,
+    request: ReadRequest,
+    now_s: float,
+) -> bool:
+    """Return whether a replica includes the floor and is young enough.
+
+    During a promotion the replicas still follow the former primary; they may go on
+    serving what they have, since their age only grows.
+
+    Args:
+        server_id: The server.
+        view: What is known of it.
+        term: The group's agreed term.
+        request: What the read needs.
+        now_s: Local time.
+
+    Returns:
+        True if the replica may answer.
+    """
+    status = view.status
+    if status is None or view.refused_at_s is not None:
+        return False
+    if now_s - view.answered_at_s > SILENT_AFTER_S:
+        return False
+    if status.position < request.floor:
+        return False
+    if now_s - view.fresh_as_of_s > request.max_age_s:
+        return False
+    if term.primary:
+        return is_replica_status(term, status) or is_primary_status(
+            term, server_id, status
+        )
+    return status.read_only and bool(status.following)
+
+
+def is_wait_worthwhile(
+    board: Blackboard, request: ReadRequest, budget_s: float, now_s: float
+) -> bool:
+    """Return whether a replica will probably qualify within a time.
+
+    Args:
+        board: The node's state.
+        request: What the read needs.
+        budget_s: How long the read could wait.
+        now_s: Local time.
+
+    Returns:
+        True if some replica is a live follower whose lag is below the budget.
+    """
+    term = board.fleet.terms_by_group.get(request.group_id)
+    if term is None or not term.primary or request.max_age_s <= 0:
+        return False
+    for server_id in board.inventory.groups_by_id[request.group_id].server_ids:
+        view = board.servers_by_id.get(server_id)
+        if view is None or view.status is None or server_id == term.primary:
+            continue
+        if view.refused_at_s is not None or server_id in board.vms.leaving:
+            continue
+        if not is_replica_status(term, view.status):
+            continue
+        if view.status_sent_at_s - view.fresh_as_of_s <= budget_s:
+            return True
+    return False
--- /dev/null
+++ b/pollencleat/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API, as this project uses it."""
--- /dev/null
+++ b/pollencleat/store/objects.py
@@ -0,0 +1,125 @@
+"""The platform objects of this project and their forms."""
+
+import dataclasses
+
+import pydantic
+
+from pollencleat.core.data import AuditEntry, Fleet, Inventory, VmList
+from pollencleat.core.errors import StoreError
+from pollencleat.inventory.parser import parse_inventory
+from pollencleat.store.client import StoreClient, StoredObject
+
+FLEET_NAME = "fleet"
+INVENTORY_NAME = "inventory"
+HISTORY_PREFIX = "inventory-history/"
+HISTORY_KEPT = 1000
+"""Former inventories that can be listed and returned to."""
+
+_fleet_adapter = pydantic.TypeAdapter(Fleet)
+
+
+class InventoryDocument(pydantic.BaseModel):
+    """The value of the inventory object."""
+
+    source: str
+    audit: AuditEntry
+
+
+def encode_fleet(fleet: Fleet) -> str:
+    """Return the value of the fleet object.
+
+    Args:
+        fleet: A fleet state; its version is not part of the value.
+
+    Returns:
+        JSON.
+    """
+    return _fleet_adapter.dump_json(dataclasses.replace(fleet, version=0)).decode()
+
+
+def decode_fleet(stored: StoredObject) -> Fleet:
+    """Return the fleet state of an object.
+
+    Args:
+        stored: The object; an empty state if it does not exist.
+
+    Returns:
+        The state with the object's version.
+
+    Raises:
+        StoreError: The value is malformed.
+    """
+    if not stored.version:
+        return Fleet()
+    try:
+        fleet = _fleet_adapter.validate_json(stored.value)
+    except pydantic.ValidationError as error:
+        raise StoreError(f"malformed fleet state: {error}") from error
+    return dataclasses.replace(fleet, version=stored.version)
+
+
+def decode_inventory(stored: StoredObject) -> Inventory:
+    """Return the inventory of an object.
+
+    Args:
+        stored: The object; an empty inventory if it does not exist.
+
+    Returns:
+        The inventory with the object's version.
+
+    Raises:
+        StoreError: The value is malformed.
+        InventoryError: The source does not parse.
+    """
+    if not stored.version:
+        return Inventory()
+    try:
+        document = InventoryDocument.model_validate_json(stored.value)
+    except pydantic.ValidationError as error:
+        raise StoreError(f"malformed inventory: {error}") from error
+    inventory = parse_inventory("inventory", document.source)
+    return dataclasses.replace(inventory, version=stored.version, audit=document.audit)
+
+
+async def read_vm_list(client: StoreClient, known: VmList) -> VmList:
+    """Read the VM list.
+
+    Args:
+        client: The platform.
+        known: The newest known list.
+
+    Returns:
+        The newest list.
+    """
+    answer = await client.read_vms(known.version)
+    if answer is None:
+        return known
+    return VmList(answer.version, answer.live, answer.leaving)
+
+
+async def read_fleet(client: StoreClient, known: Fleet) -> Fleet:
+    """Read the fleet state.
+
+    Args:
+        client: The platform.
+        known: The newest known state.
+
+    Returns:
+        The newest state.
+    """
+    stored = await client.read_object(FLEET_NAME, known.version)
+    return known if stored is None else decode_fleet(stored)
+
+
+async def read_inventory(client: StoreClient, known: Inventory) -> Inventory:
+    """Read the inventory.
+
+    Args:
+        client: The platform.
+        known: The newest known inventory.
+
+    Returns:
+        The newest inventory.
+    """
+    stored = await client.read_object(INVENTORY_NAME, known.version)
+    return known if stored is None else decode_inventory(stored)
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,543 @@
+"""Stand-in for a backend server: the MySQL protocol over SQLite in memory.
+
+Run by hand: ``python -m standins.backend --server-id a --port 3301``.  Besides SQL it
+knows the statements of the platform's database groups (status, FENCE, PROMOTE, FOLLOW,
+DUMP LOG) and ``CONTROL name=value`` for faults: lag_ms, service_ms, cut_users and
+cut_servers (comma-separated names that get no answer).
+"""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import click
+import uvloop
+from mysql_mimic import packets
+from mysql_mimic.auth import IdentityProvider, NativePasswordAuthPlugin, User
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.control import LocalControl
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.session import BaseSession
+from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import Capabilities, ColumnType, ServerStatus
+
+from pollencleat.callers.session import CallerVariables
+from standins.database import Database, DatabaseError, Result, encode_entry
+from standins.every_type import EVERY_TYPE_SQL, make_every_type_result
+from standins.replication import MISMATCH_CODE, Replicator
+
+DUMP_WAIT_S = 0.2
+STATUS_COLUMNS = re.compile(r"SELECT\s+@@server_term\b.*", re.IGNORECASE)
+_WRITE = re.compile(
+    r"\s*(?:INSERT|UPDATE|DELETE|REPLACE|CREATE|ALTER|DROP|TRUNCATE)\b", re.IGNORECASE
+)
+_LOCKING = re.compile(r"\s+FOR\s+(?:UPDATE|SHARE)\s*$", re.IGNORECASE)
+_COMMENT = re.compile(r"^(?:\s|/\*.*?\*/)*", re.DOTALL)
+_commands: list[tuple[re.Pattern, Callable]] = []
+
+
+def command(pattern: str) -> Callable[[Callable], Callable]:
+    """Register a method for statements that match a pattern.
+
+    Args:
+        pattern: A regular expression for the whole statement.
+
+    Returns:
+        A decorator.
+    """
+
+    def register(function: Callable) -> Callable:
+        compiled = re.compile(pattern + r"\s*;?\s*$", re.IGNORECASE | re.DOTALL)
+        _commands.append((compiled, function))
+        return function
+
+    return register
+
+
+@dataclass
+class BackendServer:
+    """State that all sessions of one server share."""
+
+    server_id: str
+    slots: int
+    connections: int
+    connect_cost_s: float
+    service_s: float
+    database: Database = field(default_factory=Database)
+    sessions: set["BackendSession"] = field(default_factory=set)
+    peak_connections: int = 0
+    cut_users: frozenset[str] = frozenset()
+    cut_servers: frozenset[str] = frozenset()
+
+    def __post_init__(self) -> None:
+        """Create what needs the running loop."""
+        self.slot_semaphore = asyncio.Semaphore(self.slots)
+        self.replicator = Replicator(self.database, self.server_id)
+
+    def end_client_sessions(self) -> None:
+        """Close every session that has a database selected."""
+        for session in list(self.sessions):
+            if session.database:
+                session.connection.stream_writer.close()
+
+
+class OpenIdentity(IdentityProvider):
+    """Accepts every user with one password, and replicas without."""
+
+    def __init__(self, password: str) -> None:
+        """Use one password for all clients."""
+        self._hash = NativePasswordAuthPlugin.create_auth_string(password)
+
+    async def get_user(self, username: str) -> User:
+        """Return a user.
+
+        Args:
+            username: Any name.
+
+        Returns:
+            The user with the common password.
+        """
+        auth_string = None if username == "replica" else self._hash
+        return User(username, auth_string, NativePasswordAuthPlugin.name)
+
+
+class BackendSession(BaseSession):
+    """One connection's state and statements."""
+
+    def __init__(self, server: BackendServer) -> None:
+        """Belong to a server."""
+        self.server = server
+        self.variables = CallerVariables()
+        self.username = None
+        self.database = None
+        self.connection: BackendConnection | None = None
+        self.in_transaction = False
+        self.is_read_only = False
+
+    async def close(self) -> None:
+        """Roll back an open transaction."""
+        if self.in_transaction:
+            self.in_transaction = False
+            self.server.database.rollback()
+
+    async def execute(self, sql: str) -> Result:
+        """Run any statement.
+
+        Args:
+            sql: The text.
+
+        Returns:
+            The result.
+        """
+        await self._wait_while_cut()
+        bare = _COMMENT.sub("", sql).strip()
+        for pattern, function in _commands:
+            match = pattern.match(bare)
+            if match:
+                return await function(self, match)
+        async with self.server.slot_semaphore:
+            if self.server.service_s:
+                await asyncio.sleep(self.server.service_s)
+            result = await self._execute_sql(bare)
+        await self._wait_while_cut()
+        return result
+
+    async def _wait_while_cut(self) -> None:
+        while self.username in self.server.cut_users:
+            await asyncio.sleep(0.05)
+
+    async def _execute_sql(self, sql: str) -> Result:
+        database = self.server.database
+        is_write = bool(_WRITE.match(sql))
+        sql = _LOCKING.sub("", sql)
+        if is_write and (database.read_only or self.is_read_only):
+            raise DatabaseError(1290, "HY000", "The server is running read-only")
+        if self.in_transaction:
+            return database.execute(sql, is_write)
+        await database.begin(self)
+        try:
+            if is_write and database.read_only:
+                raise DatabaseError(1290, "HY000", "The server is running read-only")
+            result = database.execute(sql, is_write)
+        except BaseException:
+            database.rollback()
+            raise
+        database.commit()
+        return result
+
+    @command(r"BEGIN|START\s+TRANSACTION(?P<read_only>\s+READ\s+ONLY)?")
+    async def _begin(self, match: re.Match) -> Result:
+        database = self.server.database
+        if self.in_transaction:
+            database.commit()
+            self.in_transaction = False
+        is_read_only = bool(match["read_only"])
+        if database.read_only and not is_read_only:
+            raise DatabaseError(1290, "HY000", "The server is running read-only")
+        await database.begin(self)
+        self.in_transaction = True
+        self.is_read_only = is_read_only
+        return Result()
+
+    @command(r"COMMIT")
+    async def _commit(self, match: re.Match) -> Result:
+        if not self.in_transaction:
+            return Result()
+        self.in_transaction = False
+        database = self.server.database
+        if database.read_only and database.statements:
+            database.rollback()
+            raise DatabaseError(1290, "HY000", "The server is running read-only")
+        database.commit()
+        self.is_read_only = False
+        return Result()
+
+    @command(r"ROLLBACK")
+    async def _rollback(self, match: re.Match) -> Result:
+        if self.in_transaction:
+            self.in_transaction = False
+            self.is_read_only = False
+            self.server.database.rollback()
+        return Result()
+
+    @command(r"SET\s+.*")
+    async def _set(self, match: re.Match) -> Result:
+        return Result()
+
+    @command(r"SELECT\s+@@server_term\s*,\s*@@log_position")
+    async def _position(self, match: re.Match) -> Result:
+        database = self.server.database
+        return Result(("term", "position"), ((database.term, database.position),))
+
+    @command(r"SELECT\s+@@server_term\b.*@@following.*")
+    async def _status(self, match: re.Match) -> Result:
+        database = self.server.database
+        row = (
+            database.term,
+            database.position,
+            database.received_position,
+            database.last_entry_term,
+            int(database.read_only),
+            database.following,
+        )
+        names = "term position received entry_term read_only following"
+        return Result(tuple(names.split()), (row,))
+
+    @command(r"SELECT\s+@@peak_connections")
+    async def _peak(self, match: re.Match) -> Result:
+        return Result(("peak",), ((self.server.peak_connections,),))
+
+    @command(EVERY_TYPE_SQL)
+    async def _every_type(self, match: re.Match) -> Result:
+        return Result(("every",), ((EVERY_TYPE_SQL,),))
+
+    @command(r"FENCE\s+FOR\s+TERM\s+(?P<term>\d+)")
+    async def _fence(self, match: re.Match) -> Result:
+        self._adopt_term(int(match["term"]))
+        self.server.database.read_only = True
+        self.server.end_client_sessions()
+        return Result()
+
+    def _adopt_term(self, term: int) -> None:
+        database = self.server.database
+        if term < database.term:
+            raise DatabaseError(
+                1105, "HY000", f"term {term} is older than {database.term}"
+            )
+        database.term = term
+
+    @command(r"PROMOTE\s+TO\s+TERM\s+(?P<term>\d+)")
+    async def _promote(self, match: re.Match) -> Result:
+        database = self.server.database
+        term = int(match["term"])
+        if term == database.term and not database.read_only:
+            return Result(("start",), ((database.start_position,),))
+        self._adopt_term(term)
+        self.server.replicator.stop()
+        database.start_position = database.position
+        database.read_only = False
+        return Result(("start",), ((database.start_position,),))
+
+    @command(
+        r"FOLLOW\s+'(?P<id>[^']+)'\s+AT\s+'(?P<host>[^':]+):(?P<port>\d+)'"
+        r"\s+FOR\s+TERM\s+(?P<term>\d+)"
+    )
+    async def _follow(self, match: re.Match) -> Result:
+        database = self.server.database
+        self._adopt_term(int(match["term"]))
+        if not database.read_only:
+            database.read_only = True
+            self.server.end_client_sessions()
+        self.server.replicator.follow(match["id"], match["host"], int(match["port"]))
+        return Result()
+
+    @command(
+        r"DUMP\s+LOG\s+FROM\s+(?P<from>\d+)\s+TERM\s+(?P<term>\d+)\s+FOR\s+'(?P<id>[^']*)'"
+    )
+    async def _dump(self, match: re.Match) -> Result:
+        database = self.server.database
+        position = int(match["from"])
+        while match["id"] in self.server.cut_servers:
+            await asyncio.sleep(0.05)
+        fits = position <= database.position and (
+            position == 0 or database.log[position - 1].term == int(match["term"])
+        )
+        if not fits:
+            raise DatabaseError(MISMATCH_CODE, "HY000", "the logs differ")
+        if position == database.position:
+            grown = database.grown
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DUMP_WAIT_S):
+                    await grown.wait()
+        while match["id"] in self.server.cut_servers:
+            await asyncio.sleep(0.05)
+        entries = database.log[position : position + 500]
+        return Result(("entry",), tuple((encode_entry(item),) for item in entries))
+
+    @command(r"CONTROL\s+(?P<name>\w+)\s*=\s*(?P<value>\S*)")
+    async def _control(self, match: re.Match) -> Result:
+        server = self.server
+        name, value = match["name"].lower(), match["value"]
+        if name == "lag_ms":
+            server.database.lag_s = float(value) / 1000
+        elif name == "service_ms":
+            server.service_s = float(value) / 1000
+        elif name == "cut_users":
+            server.cut_users = frozenset(filter(None, value.split(",")))
+        elif name == "cut_servers":
+            server.cut_servers = frozenset(filter(None, value.split(",")))
+        else:
+            raise DatabaseError(1193, "HY000", f"unknown control {name}")
+        return Result()
+
+
+class BackendConnection(Connection):
+    """Adds counts, insert ids and status flags to the library's answers."""
+
+    stream_writer: asyncio.StreamWriter
+
+    async def authenticate(self, **options: object) -> None:
+        """Authenticate, and end the connection unless that succeeded.
+
+        Args:
+            **options: As the library passes them.
+        """
+        await super().authenticate(**options)
+        if self.session.username is None:
+            raise ConnectionClosed
+
+    async def handle_query(self, data: bytes) -> None:
+        """Answer a text query.
+
+        Args:
+            data: The statement.
+        """
+        await self._answer(data.decode("utf8", "surrogateescape"), self._write_text)
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Answer the execution of a prepared statement.
+
+        Args:
+            data: Statement id, flags and parameters.
+        """
+        execute = packets.parse_com_stmt_execute(
+            capabilities=self.capabilities,
+            client_charset=self.client_charset,
+            data=data,
+            get_stmt=self.get_stmt,
+        )
+        execute.stmt.param_buffers = None
+        await self._answer(execute.sql, self._write_binary)
+
+    async def handle_reset_connection(self, data: bytes) -> None:
+        """Roll back.
+
+        Args:
+            data: Empty.
+        """
+        await self.session.close()
+        await self.stream.write(self.ok())
+
+    async def _answer(self, sql: str, write_rows: Callable) -> None:
+        try:
+            result = await self.session.execute(sql)
+        except DatabaseError as error:
+            self._set_status()
+            await self.stream.write(_make_error(error))
+            return
+        self._set_status()
+        if result.columns:
+            await write_rows(_make_result_set(result))
+            return
+        await self.stream.write(
+            self.ok(
+                affected_rows=result.affected_rows,
+                last_insert_id=result.last_insert_id,
+            )
+        )
+
+    def _set_status(self) -> None:
+        status = ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        if self.session.in_transaction:
+            status |= ServerStatus.SERVER_STATUS_IN_TRANS
+        self.status_flags = status
+
+    async def _write_text(self, result_set: ResultSet) -> None:
+        await self.write_text_resultset(result_set)
+
+    async def _write_binary(self, result_set: ResultSet) -> None:
+        write = self.stream.write
+        await write(bytes([len(result_set.columns)]), drain=False)
+        for column in result_set.columns:
+            await write(_define_column(self, column), drain=False)
+        if not self.deprecate_eof():
+            await write(self.eof(), drain=False)
+        for row in result_set.rows:
+            await write(
+                packets.make_binary_resultrow(row, result_set.columns), drain=False
+            )
+        await write(self.ok_or_eof())
+
+    def com_stmt_prepare_response(self, statement):
+        """Describe a prepared statement; newer clients get no EOF.
+
+        Args:
+            statement: The statement.
+
+        Yields:
+            Payloads.
+        """
+        yield packets.make_com_stmt_prepare_ok(statement)
+        if not statement.num_params:
+            return
+        for _ in range(statement.num_params):
+            yield packets.make_column_definition_41(
+                server_charset=self.server_charset, name="?"
+            )
+        if not self.deprecate_eof():
+            yield self.eof()
+
+
+def _define_column(connection: Connection, column: ResultColumn) -> bytes:
+    return packets.make_column_definition_41(
+        server_charset=connection.server_charset,
+        name=column.name,
+        column_type=column.type,
+        character_set=column.character_set,
+    )
+
+
+def _make_error(error: DatabaseError) -> bytes:
+    code = error.code.to_bytes(2, "little")
+    return b"\xff" + code + b"#" + error.sqlstate.encode() + str(error).encode()
+
+
+def _make_result_set(result: Result) -> ResultSet:
+    if result.columns == ("every",):
+        return make_every_type_result()
+    columns = [
+        ResultColumn(name, _type_of([row[index] for row in result.rows]))
+        for index, name in enumerate(result.columns)
+    ]
+    return ResultSet(list(result.rows), columns)
+
+
+def _type_of(values: list) -> ColumnType:
+    kinds = {type(value) for value in values if value is not None}
+    if kinds == {int}:
+        return ColumnType.LONGLONG
+    if kinds and kinds <= {int, float}:
+        return ColumnType.DOUBLE
+    if bytes in kinds:
+        return ColumnType.BLOB
+    return ColumnType.VAR_STRING
+
+
+async def serve(
+    server: BackendServer, host: str, port: int, password: str
+) -> asyncio.Server:
+    """Listen for connections.
+
+    Args:
+        server: Shared state.
+        host: Address.
+        port: Port, or 0 for one that the system chooses.
+        password: Common password of all clients.
+
+    Returns:
+        The listening server.
+    """
+    identity = OpenIdentity(password)
+    control = LocalControl()
+    capabilities = DEFAULT_SERVER_CAPABILITIES & ~Capabilities.CLIENT_QUERY_ATTRIBUTES
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        session = BackendSession(server)
+        connection = BackendConnection(
+            MysqlStream(reader, writer), session, control, identity, capabilities
+        )
+        connection.stream_writer = writer
+        session.connection = connection
+        clients = sum(1 for item in server.sessions if item.username != "replica")
+        if clients >= server.connections:
+            writer.write(b"\x17\x00\x00\x00\xff\x10\x04Too many connections")
+            writer.close()
+            return
+        server.sessions.add(session)
+        server.peak_connections = max(server.peak_connections, clients + 1)
+        try:
+            await asyncio.sleep(server.connect_cost_s)
+            connection.connection_id = await control.add(connection)
+            await connection.start()
+        except Exception as error:
+            if not isinstance(error, (ConnectionClosed, OSError)):
+                click.echo(f"connection ended: {error!r}", err=True)
+        finally:
+            server.sessions.discard(session)
+            await session.close()
+            await control.remove(connection.connection_id)
+            writer.close()
+
+    return await asyncio.start_server(accept, host, port, backlog=512)
+
+
+@click.command()
+@click.option("--server-id", required=True)
+@click.option("--host", default="127.0.0.1")
+@click.option("--port", default=0, type=int)
+@click.option("--slots", default=5, type=int)
+@click.option("--connections", default=35, type=int)
+@click.option("--connect-cost-ms", default=10.0, type=float)
+@click.option("--service-ms", default=0.0, type=float)
+@click.option("--lag-ms", default=10.0, type=float)
+@click.option("--password", default="backend")
+def main(
+    server_id: str,
+    host: str,
+    port: int,
+    slots: int,
+    connections: int,
+    connect_cost_ms: float,
+    service_ms: float,
+    lag_ms: float,
+    password: str,
+) -> None:
+    """Run the stand-in until it is interrupted; prints its port."""
+
+    async def run() -> None:
+        server = BackendServer(
+            server_id, slots, connections, connect_cost_ms / 1000, service_ms / 1000
+        )
+        server.database.lag_s = lag_ms / 1000
+        listening = await serve(server, host, port, password)
+        click.echo(f"port {listening.sockets[0].getsockname()[1]}")
+        await asyncio.Event().wait()
+
+    uvloop.run(run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/every_type.py
@@ -0,0 +1,49 @@
+"""A result set with a column of every type that the protocol library can encode."""
+
+from datetime import date, datetime, timedelta
+
+from mysql_mimic.results import ResultColumn, ResultSet
+from mysql_mimic.types import ColumnType
+
+EVERY_TYPE_SQL = "SELECT EVERY TYPE"
+
+VALUES_BY_TYPE = {
+    ColumnType.DECIMAL: ("12.50", None),
+    ColumnType.TINY: (1, 0),
+    ColumnType.SHORT: (-32768, 32767),
+    ColumnType.LONGLONG: (-(2**63), 2**63 - 1),
+    ColumnType.FLOAT: (1.5, -0.25),
+    ColumnType.DOUBLE: (1e300, -1e-300),
+    ColumnType.TIMESTAMP: (datetime(2026, 12, 4, 1, 2, 3), None),
+    ColumnType.DATE: (date(2026, 12, 4), date(1, 1, 1)),
+    ColumnType.TIME: (timedelta(hours=5, minutes=4), timedelta(0)),
+    ColumnType.DATETIME: (datetime(2026, 12, 4, 1, 2, 3, 456), None),
+    ColumnType.YEAR: (2026, 1901),
+    ColumnType.VARCHAR: ("ñandú", ""),
+    ColumnType.BIT: (b"\x05", b"\x00"),
+    ColumnType.JSON: ('{"a": [1, null]}', "null"),
+    ColumnType.NEWDECIMAL: ("-99999999999999999999.99", "0.00"),
+    ColumnType.ENUM: ("red", "blue"),
+    ColumnType.SET: ("a,b", ""),
+    ColumnType.TINY_BLOB: (b"\x00\xff", b""),
+    ColumnType.MEDIUM_BLOB: (bytes(range(256)), b""),
+    ColumnType.LONG_BLOB: (b"\xfe" * 300, b"\xfb"),
+    ColumnType.BLOB: (b"\xfe\x00\x00", None),
+    ColumnType.VAR_STRING: ("x" * 70_000, "€"),
+    ColumnType.STRING: ("fixed", None),
+    ColumnType.GEOMETRY: (b"\x00\x00\x00\x00\x01", None),
+}
+
+
+def make_every_type_result() -> ResultSet:
+    """Return two rows with every type.
+
+    Returns:
+        The result set.
+    """
+    columns = [
+        ResultColumn(f"c_{column_type.name.lower()}", column_type)
+        for column_type in VALUES_BY_TYPE
+    ]
+    rows = list(zip(*VALUES_BY_TYPE.values(), strict=True))
+    return ResultSet(rows, columns)
