--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,845 @@
+"""Fakes at the interfaces of the controllers: platform, network, servers and time.
+
+The controllers are the real ones.  Everything happens in simulated time and follows
+from a seed; promises are checked at the moment at which they could be broken.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import SAMPLE_S
+from pollencleat.core.data import (
+    Fleet,
+    Inventory,
+    Position,
+    ServerStatus,
+    VmList,
+)
+from pollencleat.core.effects import (
+    FenceServer,
+    FleetUpdated,
+    FollowPrimary,
+    PromoteServer,
+    ReadPlatform,
+    ReadServerStatus,
+    ServerFenced,
+    ServerPromoted,
+    ServerStatusRead,
+    UpdateFleet,
+)
+from pollencleat.core.errors import SessionHistoryLostError
+from pollencleat.core.timers import TimerService
+from pollencleat.daemon.node import Node
+from pollencleat.inventory.parser import parse_inventory
+from pollencleat.limits.shares import connections_allowed
+from pollencleat.membership.permits import writable_term
+from pollencleat.routing.freshness import record_silence, record_status
+from pollencleat.routing.reads import ReadRequest, choose_replica
+from pollencleat.routing.tokens import floor_position, is_lost, later_of
+
+GROUP = "g"
+SERVERS = ("sa", "sb", "sc")
+DOMAIN_BY_SERVER = {"sa": "a", "sb": "b", "sc": "c"}
+DOMAIN_BY_NODE = {"na": "a", "nb": "b", "nc": "c", "na2": "a"}
+TICK_S = 0.05
+ANSWER_LIMIT_S = 0.5
+PLATFORM_LIMIT_S = 2.0
+REPLICATION_S = 0.02
+VM_LIST_LAG_S = 3.0
+OUTAGE_LIMIT_S = 20
+CONNECTIONS = 30
+WRITE_LIMIT_S = 8.0
+PLATFORM_PLACE = "platform"
+
+
+class PromiseBrokenError(AssertionError):
+    """A promise of the brief was broken."""
+
+
+@dataclass
+class FakePlatform:
+    """Linearizable objects with conditional updates."""
+
+    fleet: Fleet = field(default_factory=Fleet)
+    inventory: Inventory = field(default_factory=Inventory)
+    vms: VmList = field(default_factory=VmList)
+    is_down: bool = False
+    lose_replies: int = 0
+    updates: int = 0
+
+
+@dataclass
+class FakeServer:
+    """A database server: a role and a list of (term, write id)."""
+
+    server_id: str
+    term: int = 0
+    read_only: bool = True
+    following: str = ""
+    target: str = ""
+    lag_s: float = 0.01
+    start_position: int = 0
+    alive: bool = True
+    paused: bool = False
+    entries: list[tuple[int, int]] = field(default_factory=list)
+    due_at_s: list[float] = field(default_factory=list)
+    committed_at_s: list[float] = field(default_factory=list)
+
+    def status(self, now_s: float) -> ServerStatus:
+        """Return what the server reports."""
+        applied = self.applied(now_s)
+        last_term = self.entries[-1][0] if self.entries else 0
+        return ServerStatus(
+            self.term,
+            applied,
+            len(self.entries),
+            last_term,
+            self.read_only,
+            self.following,
+        )
+
+    def applied(self, now_s: float) -> int:
+        """Return the number of applied entries."""
+        applied = len(self.entries)
+        while applied and self.due_at_s[applied - 1] > now_s:
+            applied -= 1
+        return applied
+
+
+@dataclass
+class FakeNode:
+    """One entry VM with the real controllers."""
+
+    node_id: str
+    board: Blackboard
+    node: Node
+    timers: TimerService
+    alive: bool = True
+    paused: bool = False
+    held_back: list[Callable[[], None]] = field(default_factory=list)
+    sampled_at_s: float = -1e9
+
+
+@dataclass
+class FakeSession:
+    """A user who goes from node to node.
+
+    Attributes:
+        carries_token: Otherwise its floor is sampled on each arrival.
+        acknowledged: Ids of its acknowledged writes.
+    """
+
+    name: str
+    carries_token: bool
+    seen: Position | None = None
+    acknowledged: set[int] = field(default_factory=set)
+    busy_until_s: float = 0.0
+
+
+class World:
+    """All fakes, and the queue of what happens next."""
+
+    def __init__(self, seed: int, mutation: str = "") -> None:
+        """Create three nodes before one group of three servers."""
+        self.random = random.Random(seed)
+        self.mutation = mutation
+        self.now_s = 1000.0
+        self._sequence = itertools.count()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.platform = FakePlatform()
+        self.servers = {name: FakeServer(name) for name in SERVERS}
+        self.nodes: dict[str, FakeNode] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.cut_server_links: set[str] = set()
+        self.loss = 0.0
+        self.highest_writable_term = 0
+        self.write_ids = itertools.count(1)
+        self.acknowledged_at_s: dict[int, float] = {}
+        self.refused: set[int] = set()
+        self.counts: dict[str, int] = {}
+        self._publish_inventory(1)
+        for node_id in ("na", "nb", "nc"):
+            self.start_node(node_id)
+        self._repeat(REPLICATION_S, self._replicate)
+        self._repeat(1.0, self._refresh_vms)
+
+    # Time.
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Let something happen later."""
+        entry = (self.now_s + delay_s, next(self._sequence), action)
+        heapq.heappush(self._queue, entry)
+
+    def _repeat(self, interval_s: float, action: Callable[[], None]) -> None:
+        def run() -> None:
+            action()
+            self.at(interval_s, run)
+
+        self.at(interval_s, run)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        until_s = self.now_s + seconds
+        while self._queue and self._queue[0][0] <= until_s:
+            at_s, _, action = heapq.heappop(self._queue)
+            self.now_s = max(self.now_s, at_s)
+            action()
+        self.now_s = until_s
+
+    def count(self, name: str) -> None:
+        """Count something that happened."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _delay(self) -> float:
+        if self.random.random() < 0.03:
+            return self.random.uniform(0.1, 1.5)
+        return self.random.uniform(0.0005, 0.004)
+
+    # Places and cuts.
+
+    def _place(self, name: str) -> str:
+        if name == PLATFORM_PLACE:
+            return name
+        return DOMAIN_BY_NODE.get(name) or DOMAIN_BY_SERVER[name]
+
+    def is_cut(self, first: str, second: str) -> bool:
+        """Return whether two parties cannot reach each other."""
+        pair = frozenset({self._place(first), self._place(second)})
+        return pair in self.cuts
+
+    # Nodes.
+
+    def start_node(self, node_id: str) -> None:
+        """Start an entry VM with a new incarnation."""
+        incarnation = f"{node_id}-{next(self._sequence)}"
+        timers = TimerService(lambda: self.now_s)
+        board = Blackboard(
+            node_id,
+            incarnation,
+            DOMAIN_BY_NODE[node_id],
+            node_id,
+            "",
+            random.Random(self.random.random()),
+        )
+        seeds = tuple(name for name in ("na", "nb", "nc") if name != node_id)
+        node = FakeNode(node_id, board, Node(board, timers, seeds), timers)
+        self.nodes[node_id] = node
+        self._apply_mutation(node)
+        self._run_node(node)
+
+    def _apply_mutation(self, node: FakeNode) -> None:
+        mutate = MUTATIONS.get(self.mutation)
+        if mutate is not None:
+            mutate(node)
+
+    def _run_node(self, node: FakeNode) -> None:
+        if not node.alive:
+            return
+        self.at(TICK_S, lambda: self._run_node(node))
+        if node.paused:
+            return
+        node.timers.run_due()
+        if self.now_s - node.sampled_at_s >= SAMPLE_S:
+            node.sampled_at_s = self.now_s
+            for server_id in SERVERS:
+                self.sample(node, server_id, lambda: None)
+        self._dispatch(node)
+        self._check_shares()
+
+    def _dispatch(self, node: FakeNode) -> None:
+        board = node.board
+        while board.effects:
+            effects, board.effects = board.effects, []
+            for effect in effects:
+                _effect_runners[type(effect)](self, node, effect)
+        envelopes, board.outbox = board.outbox, []
+        for envelope in envelopes:
+            copies = 2 if self.random.random() < 0.02 else 1
+            for _ in range(copies):
+                self._send(node, envelope.to_node, envelope.message)
+
+    def _send(self, sender: FakeNode, to_node: str, message: object) -> None:
+        if self.random.random() < self.loss:
+            return
+
+        def arrive() -> None:
+            receiver = self.nodes.get(to_node)
+            if receiver is None or not receiver.alive:
+                return
+            if self.is_cut(sender.node_id, to_node):
+                return
+            self._run_at(receiver, lambda: receiver.node.handle(message))
+
+        self.at(self._delay(), arrive)
+
+    def _run_at(self, node: FakeNode, action: Callable[[], None]) -> None:
+        """Run something in a node's process, when it is not paused."""
+        if not node.alive:
+            return
+        if node.paused:
+            node.held_back.append(action)
+            return
+        action()
+        self._dispatch(node)
+
+    def resume(self, node: FakeNode) -> None:
+        """Let a paused node go on; what arrived meanwhile comes first."""
+        node.paused = False
+        held_back, node.held_back = node.held_back, []
+        for action in held_back:
+            self._run_at(node, action)
+
+    # The platform.
+
+    def _publish_inventory(self, version: int) -> None:
+        text = (
+            f"[rules]\nseats = 5\noutage-limit-s = {OUTAGE_LIMIT_S}\n"
+            f"[customer c]\nusers = u{version}\n"
+            "[group g]\ndatabase = d\ncustomers = c\n"
+        )
+        for domain in ("a", "b", "c"):
+            text += f"[failure-domain {domain}]\nregion = r\n"
+        for port, server_id in enumerate(SERVERS, start=1):
+            text += (
+                f"[server {server_id}]\ngroup = g\naddress = h:{port}\n"
+                f"failure-domain = {DOMAIN_BY_SERVER[server_id]}\n"
+                f"slots = 2\nconnections = {CONNECTIONS}\n"
+            )
+        inventory = parse_inventory("simulated", text)
+        self.platform.inventory = replace(inventory, version=version)
+
+    def change_inventory(self) -> None:
+        """Accept a new inventory."""
+        self._publish_inventory(self.platform.inventory.version + 1)
+
+    def _refresh_vms(self) -> None:
+        live = tuple(name for name, node in self.nodes.items() if node.alive)
+        live += SERVERS
+
+        def publish() -> None:
+            vms = self.platform.vms
+            if vms.live != live:
+                self.platform.vms = replace(vms, version=vms.version + 1, live=live)
+
+        self.at(VM_LIST_LAG_S, publish)
+
+    def set_leaving(self, server_ids: tuple[str, ...]) -> None:
+        """Mark servers as leaving in the VM list."""
+        vms = self.platform.vms
+        self.platform.vms = replace(vms, version=vms.version + 1, leaving=server_ids)
+
+    def _platform_answers(self, node: FakeNode) -> bool:
+        if self.platform.is_down or not node.alive:
+            return False
+        return not self.is_cut(node.node_id, PLATFORM_PLACE)
+
+    def _read_platform(self, node: FakeNode, effect: ReadPlatform) -> None:
+        sent_at_s = self.now_s
+
+        def arrive() -> None:
+            if not self._platform_answers(node):
+                return
+            platform = self.platform
+            objects = (platform.fleet, platform.inventory, platform.vms)
+
+            def answer() -> None:
+                if self.is_cut(node.node_id, PLATFORM_PLACE):
+                    return
+                self._run_at(
+                    node,
+                    lambda: node.node.beats.on_platform_read(
+                        sent_at_s, self.now_s, *objects
+                    ),
+                )
+
+            self.at(self._delay(), answer)
+
+        self.at(self._delay(), arrive)
+
+    def _update_fleet(self, node: FakeNode, effect: UpdateFleet) -> None:
+        answered = []
+
+        def finish(version: int | None) -> None:
+            if answered:
+                return
+            answered.append(version)
+            self._run_at(node, lambda: node.node.handle(FleetUpdated(effect, version)))
+
+        def arrive() -> None:
+            if not self._platform_answers(node):
+                return
+            platform = self.platform
+            version = 0
+            if platform.fleet.version == effect.expected_version:
+                version = platform.fleet.version + 1
+                platform.fleet = replace(effect.fleet, version=version)
+                platform.updates += 1
+            if platform.lose_replies:
+                platform.lose_replies -= 1
+                return
+            self.at(self._delay(), lambda: finish(version))
+
+        self.at(self._delay(), arrive)
+        self.at(PLATFORM_LIMIT_S, lambda: finish(None))
+
+    # Servers.
+
+    def _server_answers(self, node: FakeNode, server: FakeServer) -> bool:
+        if not server.alive or server.paused:
+            return False
+        return not self.is_cut(node.node_id, server.server_id)
+
+    def _ask_server(
+        self,
+        node: FakeNode,
+        server_id: str,
+        command: Callable[[FakeServer], object],
+        finish: Callable[[object], None],
+    ) -> None:
+        """Run a command at a server; finish gets None if there is no answer."""
+        server = self.servers[server_id]
+        answered = []
+
+        def finish_once(value: object) -> None:
+            if answered:
+                return
+            answered.append(value)
+            self._run_at(node, lambda: finish(value))
+
+        def arrive() -> None:
+            if not self._server_answers(node, server):
+                return
+            value = command(server)
+            if not self.is_cut(node.node_id, server_id):
+                self.at(self._delay(), lambda: finish_once(value))
+
+        self.at(self._delay(), arrive)
+        self.at(ANSWER_LIMIT_S, lambda: finish_once(None))
+
+    def sample(
+        self, node: FakeNode, server_id: str, finish: Callable[[], None]
+    ) -> None:
+        """Ask a server for its status and record it on the blackboard."""
+        sent_at_s = self.now_s
+
+        def record(status: ServerStatus | None) -> None:
+            server = self.servers[server_id]
+            if status is None:
+                refused = not server.alive and not self.is_cut(node.node_id, server_id)
+                record_silence(node.board, server_id, refused, self.now_s)
+            else:
+                record_status(node.board, server_id, status, sent_at_s, self.now_s)
+            finish()
+
+        self._ask_server(
+            node, server_id, lambda server: server.status(self.now_s), record
+        )
+
+    def _fence(self, node: FakeNode, effect: FenceServer) -> None:
+        def fence(server: FakeServer) -> ServerStatus | None:
+            if effect.term < server.term:
+                return None
+            server.term = effect.term
+            server.read_only = True
+            return server.status(self.now_s)
+
+        self._ask_server(
+            node,
+            effect.server_id,
+            fence,
+            lambda status: node.node.handle(
+                ServerFenced(effect.attempt_id, effect.server_id, status)
+            ),
+        )
+
+    def _read_status(self, node: FakeNode, effect: ReadServerStatus) -> None:
+        self._ask_server(
+            node,
+            effect.server_id,
+            lambda server: server.status(self.now_s),
+            lambda status: node.node.handle(
+                ServerStatusRead(effect.attempt_id, effect.server_id, status)
+            ),
+        )
+
+    def _promote(self, node: FakeNode, effect: PromoteServer) -> None:
+        def promote(server: FakeServer) -> int | None:
+            if effect.term < server.term:
+                return None
+            if effect.term == server.term and not server.read_only:
+                return server.start_position
+            self._truncate(server, server.applied(self.now_s))
+            server.term = effect.term
+            server.read_only = False
+            server.following = server.target = ""
+            server.start_position = len(server.entries)
+            self.highest_writable_term = max(self.highest_writable_term, effect.term)
+            self.count("promotions")
+            return server.start_position
+
+        self._ask_server(
+            node,
+            effect.server_id,
+            promote,
+            lambda start: node.node.handle(
+                ServerPromoted(effect.attempt_id, effect.server_id, start)
+            ),
+        )
+
+    def _follow(self, node: FakeNode, effect: FollowPrimary) -> None:
+        def follow(server: FakeServer) -> bool:
+            if effect.term < server.term:
+                return False
+            server.term = effect.term
+            server.read_only = True
+            if server.target != effect.primary_id:
+                server.target = effect.primary_id
+                server.following = ""
+            return True
+
+        self._ask_server(node, effect.server_id, follow, lambda value: None)
+
+    def _truncate(self, server: FakeServer, length: int) -> None:
+        del server.entries[length:]
+        del server.due_at_s[length:]
+        del server.committed_at_s[length:]
+
+    def _replicate(self) -> None:
+        for server in self.servers.values():
+            source = self.servers.get(server.target)
+            if source is None or not server.alive or not source.alive:
+                continue
+            if server.paused or source.paused:
+                continue
+            if self.is_cut(server.server_id, source.server_id):
+                continue
+            if source.server_id in self.cut_server_links:
+                continue
+            self._pull(server, source)
+
+    def _pull(self, server: FakeServer, source: FakeServer) -> None:
+        common = 0
+        for mine, theirs in zip(server.entries, source.entries, strict=False):
+            if mine != theirs:
+                break
+            common += 1
+        self._truncate(server, common)
+        applied = source.applied(self.now_s)
+        for index in range(common, applied):
+            committed_at_s = source.committed_at_s[index]
+            due_at_s = max(self.now_s, committed_at_s + server.lag_s)
+            if server.due_at_s:
+                due_at_s = max(due_at_s, server.due_at_s[-1])
+            server.entries.append(source.entries[index])
+            server.due_at_s.append(due_at_s)
+            server.committed_at_s.append(committed_at_s)
+        server.following = server.target
+
+    def kill_server(self, server_id: str) -> None:
+        """Kill a server; it forgets everything."""
+        self.servers[server_id] = FakeServer(server_id, alive=False)
+
+    # Users.
+
+    def write(self, session: FakeSession, node_id: str) -> None:
+        """Send a write; its checks come when it is sent and acknowledged."""
+        node = self.nodes[node_id]
+        if not node.alive or node.paused or self.now_s < session.busy_until_s:
+            return
+        write_id = next(self.write_ids)
+        term = writable_term(node.board, GROUP, self.now_s)
+        if term is None:
+            self.refused.add(write_id)
+            self.count("writes refused")
+            return
+        if session.seen is not None and is_lost(term, session.seen):
+            self._tell_lost(session)
+            return
+        session.busy_until_s = self.now_s + WRITE_LIMIT_S
+        server = self.servers[term.primary]
+
+        def arrive() -> None:
+            if not self._server_answers(node, server):
+                return
+            is_open = server.term == term.term and not server.read_only
+            if not is_open or self.servers[server.server_id] is not server:
+                self.refused.add(write_id)
+                return
+            server.entries.append((term.term, write_id))
+            server.due_at_s.append(self.now_s)
+            server.committed_at_s.append(self.now_s)
+            position = len(server.entries)
+            self.at(
+                self._delay(),
+                lambda: self._run_at(
+                    node,
+                    lambda: self._acknowledge(node, session, write_id, term, position),
+                ),
+            )
+
+        self.at(self._delay(), arrive)
+
+    def _tell_lost(self, session: FakeSession) -> None:
+        session.seen = None
+        session.acknowledged.clear()
+        self.count("sessions told of lost writes")
+
+    def _acknowledge(self, node, session, write_id, term, position) -> None:
+        if self.now_s >= session.busy_until_s:
+            return
+        session.busy_until_s = 0.0
+        current = writable_term(node.board, GROUP, self.now_s)
+        is_permitted = current is not None and current.term == term.term
+        if not is_permitted and self.mutation != "skip the check at acknowledgement":
+            self.count("acknowledgements withheld")
+            return
+        if self.highest_writable_term > term.term:
+            raise PromiseBrokenError(
+                f"{node.node_id} acknowledged write {write_id} of term {term.term} "
+                f"after a server was made writable in term {self.highest_writable_term}"
+            )
+        self.count("writes acknowledged")
+        self.acknowledged_at_s[write_id] = self.now_s
+        session.acknowledged.add(write_id)
+        session.seen = later_of(session.seen, Position(term.term, position))
+
+    def read(self, session: FakeSession, node_id: str, max_age_s: float) -> None:
+        """Read at a node, on arrival with or without a token."""
+        node = self.nodes[node_id]
+        if not node.alive or node.paused or self.now_s < session.busy_until_s:
+            return
+        if session.carries_token:
+            self._read_with_floor(session, node, session.seen, max_age_s)
+            return
+        term = writable_term(node.board, GROUP, self.now_s)
+        if term is None:
+            return
+        asked_at_s = self.now_s
+
+        def continue_read() -> None:
+            current = writable_term(node.board, GROUP, self.now_s)
+            samples = node.board.primary_samples_by_group.get(GROUP)
+            if current is None or current.term != term.term or samples is None:
+                return
+            if samples.term != term.term or not samples.sent_at_s:
+                return
+            if samples.sent_at_s[-1] < asked_at_s:
+                return
+            seen = Position(term.term, samples.positions[-1])
+            self._read_with_floor(session, node, seen, max_age_s)
+
+        self.sample(node, term.primary, continue_read)
+
+    def _read_with_floor(self, session, node, seen, max_age_s) -> None:
+        board = node.board
+        term = board.group_term(GROUP)
+        if term is None or (seen is not None and term.term < seen.term):
+            return
+        floor = 0
+        if seen is not None:
+            try:
+                floor = floor_position(term, seen)
+            except SessionHistoryLostError:
+                self._tell_lost(session)
+                return
+        request = ReadRequest(GROUP, floor, max_age_s)
+        if self.mutation == "trust a stale position":
+            request = ReadRequest(GROUP, 0, max_age_s)
+        server_id = choose_replica(board, request, {}, self.now_s)
+        from_primary = False
+        if server_id is None:
+            current = writable_term(board, GROUP, self.now_s)
+            if current is None:
+                self.count("reads refused")
+                return
+            server_id = current.primary
+            from_primary = True
+        expected = set(session.acknowledged)
+        began_at_s = self.now_s
+
+        def look(server: FakeServer) -> list[tuple[int, int]] | None:
+            if from_primary and server.read_only:
+                return None
+            return server.entries[: server.applied(self.now_s)]
+
+        def check(entries) -> None:
+            if entries is None:
+                return
+            if from_primary:
+                current = writable_term(board, GROUP, self.now_s)
+                if current is None or current.term != term.term:
+                    return
+            self._check_read(session, entries, expected, began_at_s, max_age_s)
+            self.count("reads from primary" if from_primary else "reads from replicas")
+
+        self._ask_server(node, server_id, look, check)
+
+    def _check_read(self, session, entries, expected, began_at_s, max_age_s) -> None:
+        visible = {write_id for _, write_id in entries}
+        kept = {write_id for _, write_id in self.history()}
+        for write_id in expected & kept:
+            if write_id not in visible:
+                raise PromiseBrokenError(
+                    f"session {session.name} does not see its write {write_id}"
+                )
+        missing = expected - visible
+        if session.carries_token and missing & session.acknowledged:
+            raise PromiseBrokenError(
+                f"session {session.name} lost writes {missing} and was not told"
+            )
+        for write_id in kept - visible:
+            age_s = began_at_s - self.acknowledged_at_s.get(write_id, self.now_s)
+            if age_s > max_age_s + 1e-6:
+                raise PromiseBrokenError(
+                    f"write {write_id} is {age_s:.3f} s old and missing from a read "
+                    f"that allows {max_age_s:.3f} s"
+                )
+
+    def history(self) -> list[tuple[int, int]]:
+        """Return the entries of the newest primary."""
+        writable = [
+            server
+            for server in self.servers.values()
+            if server.alive and not server.read_only
+        ]
+        if not writable:
+            return []
+        return max(writable, key=lambda server: server.term).entries
+
+    # Promises that concern no single answer.
+
+    def _check_shares(self) -> None:
+        for server_id in SERVERS:
+            total = sum(
+                connections_allowed(node.board, server_id)
+                for node in self.nodes.values()
+                if node.alive
+            )
+            if total > CONNECTIONS:
+                raise PromiseBrokenError(f"{total} connections allowed to {server_id}")
+
+    def check_history(self) -> None:
+        """Check that no refused write ran, and that none ran twice."""
+        for server in self.servers.values():
+            ids = [write_id for _, write_id in server.entries]
+            if len(set(ids)) != len(ids):
+                raise PromiseBrokenError(f"a write ran twice on {server.server_id}")
+            if set(ids) & self.refused:
+                raise PromiseBrokenError("a write that was refused as not run ran")
+
+    def heal(self) -> None:
+        """Remove all faults."""
+        self.cuts.clear()
+        self.cut_server_links.clear()
+        self.loss = 0.0
+        self.platform.is_down = False
+        self.platform.lose_replies = 0
+        self.set_leaving(())
+        for server in self.servers.values():
+            server.alive = True
+            server.paused = False
+            server.lag_s = 0.01
+        for node_id, node in list(self.nodes.items()):
+            if not node.alive:
+                self.start_node(node_id)
+            elif node.paused:
+                self.resume(node)
+
+
+_effect_runners = {
+    ReadPlatform: World._read_platform,
+    UpdateFleet: World._update_fleet,
+    FenceServer: World._fence,
+    ReadServerStatus: World._read_status,
+    PromoteServer: World._promote,
+    FollowPrimary: World._follow,
+}
+
+
+def _skip_the_wait(node: FakeNode) -> None:
+    original = node.node.promotion._advance_stopping
+
+    def advance(attempt, now_s):
+        attempt.slow_deadline_s = 0.0
+        original(attempt, now_s)
+
+    node.node.promotion._advance_stopping = advance
+
+
+def _count_versions_not_known(node: FakeNode) -> None:
+    beats = node.node.beats
+    original = beats.on_beat
+
+    def on_beat(beat, now_s):
+        original(replace_versions(beat), now_s)
+
+    beats.on_beat = on_beat
+
+
+def replace_versions(beat: object) -> object:
+    """Return a heartbeat that claims an old fleet version.
+
+    Args:
+        beat: A heartbeat.
+
+    Returns:
+        The same with version 0.
+    """
+    import msgspec
+
+    versions = msgspec.structs.replace(beat.versions, fleet=0)
+    return msgspec.structs.replace(beat, versions=versions)
+
+
+def _treat_every_echo_as_now(node: FakeNode) -> None:
+    beats = node.node.beats
+    original = beats._count_beat
+
+    def count(beat, peer):
+        import msgspec
+
+        now_s = node.timers.clock()
+        original(msgspec.structs.replace(beat, echo_s=now_s), peer)
+
+    beats._count_beat = count
+
+
+def _promote_without_voucher(node: FakeNode) -> None:
+    def may_start(now_s):
+        board = node.board
+        return (
+            board.is_member()
+            and node.node.promotion._start_pending is None
+            and now_s - board.fresh_at_s < 1.2
+        )
+
+    node.node.promotion._may_start = may_start
+    node.node.promotion._rank = lambda group_id: 0
+
+
+def _ignore_promotion_in_progress(node: FakeNode) -> None:
+    original = node.board.adopt_fleet
+
+    def adopt(fleet, now_s):
+        terms = {
+            group_id: node.board.fleet.terms_by_group.get(group_id, term)
+            if term.promotion and term.promotion.node_id != node.node_id
+            else term
+            for group_id, term in fleet.terms_by_group.items()
+        }
+        return original(replace(fleet, terms_by_group=terms), now_s)
+
+    node.board.adopt_fleet = adopt
+
+
+MUTATIONS: dict[str, Callable[[FakeNode], None]] = {
+    "skip the wait for permits": _skip_the_wait,
+    "count promises of unknown versions": _count_versions_not_known,
+    "count credits from their arrival": _treat_every_echo_as_now,
+    "write while a promotion is in progress": _ignore_promotion_in_progress,
+    "promote without a voucher": _promote_without_voucher,
+}
