--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -45,8 +45,8 @@
 PREPARED_LIMIT = 512
 """Prepared statements that one caller may keep open."""
 
-_SERVER_CAPABILITIES = DEFAULT_SERVER_CAPABILITIES & ~(
-    Capabilities.CLIENT_QUERY_ATTRIBUTES
+SERVER_CAPABILITIES = DEFAULT_SERVER_CAPABILITIES & ~(
+    Capabilities.CLIENT_QUERY_ATTRIBUTES | Capabilities.CLIENT_CONNECT_ATTRS
 )
 _TOKEN_NAME = "pollencleat_token"
 _SET_TOKEN = re.compile(
@@ -82,12 +82,14 @@
     ) -> None:
         """Take over an accepted connection."""
         super().__init__(
-            stream, session, control, identity_provider, _SERVER_CAPABILITIES, ssl
+            stream, session, control, identity_provider, SERVER_CAPABILITIES, ssl
         )
         self.gateway = gateway
         self.executor = Executor(gateway, session, stream, self)
         self.prepared_by_id: dict[int, PreparedText] = {}
         self.in_flight = False
+        # Callers compare the greeting's flag with the mode that they want.
+        self._set_status()
 
     # Connection phase.
 
--- a/pollencleat/callers/server.py
+++ b/pollencleat/callers/server.py
@@ -7,7 +7,7 @@
 from mysql_mimic.control import LocalControl, TooManyConnections
 from mysql_mimic.stream import ConnectionClosed
 
-from pollencleat.callers.connection import CallerConnection
+from pollencleat.callers.connection import SERVER_CAPABILITIES, CallerConnection
 from pollencleat.callers.gateway import Gateway
 from pollencleat.callers.identity import CallerIdentityProvider
 from pollencleat.callers.session import CallerSession
@@ -56,7 +56,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = CallerConnection(
-            CallerStream(reader, writer),
+            CallerStream(reader, writer, SERVER_CAPABILITIES),
             CallerSession(self.gateway.clock()),
             self._control,
             self._identity_provider,
--- a/pollencleat/callers/stream.py
+++ b/pollencleat/callers/stream.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
+from mysql_mimic.types import Capabilities
 
+from pollencleat.callers.handshake import FIXED_BYTES, is_complete_answer
 from pollencleat.core.constants import MAX_STATEMENT_BYTES
 from pollencleat.core.errors import StatementTooLargeError
 
@@ -18,11 +20,16 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        capabilities: Capabilities,
     ) -> None:
-        """Use an accepted connection."""
+        """Use an accepted connection; the first packet is a handshake answer."""
         self.reader = reader
         self.writer = writer
+        self.awaits_handshake = True
+        self._capabilities = capabilities
         self._inner = MysqlStream(reader, writer)
         self.seq = self._inner.seq
         self.write = self._inner.write
@@ -42,6 +49,14 @@
             ConnectionClosed: The caller left, or its framing is broken.
             StatementTooLargeError: The payload exceeds the limit.
         """
+        payload = await self._read_whole()
+        if self.awaits_handshake:
+            self.awaits_handshake = len(payload) == FIXED_BYTES
+            if not is_complete_answer(payload, self._capabilities):
+                raise ConnectionClosed
+        return payload
+
+    async def _read_whole(self) -> bytes:
         parts = []
         size = 0
         while True:
--- a/pollencleat/daemon/application.py
+++ b/pollencleat/daemon/application.py
@@ -79,6 +79,7 @@
         self.admin = AdminServer(self)
         self.pruner = JournalPruner(self.gateway)
         self.changes = ChangeLog(self.board)
+        self.callers_port = 0
         self._tasks: list[asyncio.Task] = []
         self._on_stop: list[Callable[[], Awaitable[None]]] = []
 
@@ -103,12 +104,14 @@
         self._subscribe()
         add_gauges(self)
         self._tasks.append(asyncio.create_task(self.timers.run_forever()))
-        port = await self.callers.start(settings.callers.host, settings.callers.port)
+        self.callers_port = await self.callers.start(
+            settings.callers.host, settings.callers.port
+        )
         log.info(
             "started",
             node=settings.node_id,
             incarnation=self.board.incarnation,
-            callers_port=port,
+            callers_port=self.callers_port,
             peers=self.board.address,
             admin=self.board.admin_address,
         )
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -26,7 +26,7 @@
 
 from pollencleat.callers.session import CallerVariables
 from standins.database import Database, DatabaseError, Result, encode_entry
-from standins.every_type import EVERY_TYPE_SQL, make_every_type_result
+from standins.every_type import EVERY_TYPE_SQL, make_column, make_every_type_result
 from standins.replication import MISMATCH_CODE, Replicator
 
 DUMP_WAIT_S = 0.2
@@ -439,7 +439,7 @@
     if result.columns == ("every",):
         return make_every_type_result()
     columns = [
-        ResultColumn(name, _type_of([row[index] for row in result.rows]))
+        make_column(name, _type_of([row[index] for row in result.rows]))
         for index, name in enumerate(result.columns)
     ]
     return ResultSet(list(result.rows), columns)
@@ -492,6 +492,8 @@
             await asyncio.sleep(server.connect_cost_s)
             connection.connection_id = await control.add(connection)
             await connection.start()
+        except asyncio.CancelledError:
+            return
         except Exception as error:
             if not isinstance(error, (ConnectionClosed, OSError)):
                 click.echo(f"connection ended: {error!r}", err=True)
--- a/standins/every_type.py
+++ b/standins/every_type.py
@@ -2,9 +2,20 @@
 
 from datetime import date, datetime, timedelta
 
+from mysql_mimic.charset import CharacterSet
 from mysql_mimic.results import ResultColumn, ResultSet
 from mysql_mimic.types import ColumnType
 
+BINARY_TYPES = frozenset(
+    {
+        ColumnType.BIT,
+        ColumnType.TINY_BLOB,
+        ColumnType.MEDIUM_BLOB,
+        ColumnType.LONG_BLOB,
+        ColumnType.BLOB,
+        ColumnType.GEOMETRY,
+    }
+)
 EVERY_TYPE_SQL = "SELECT EVERY TYPE"
 
 VALUES_BY_TYPE = {
@@ -35,6 +46,22 @@
 }
 
 
+def make_column(name: str, column_type: ColumnType) -> ResultColumn:
+    """Return a column; bytes have the character set that says so.
+
+    Args:
+        name: Column name.
+        column_type: Its type.
+
+    Returns:
+        The column.
+    """
+    character_set = CharacterSet.utf8mb4
+    if column_type in BINARY_TYPES:
+        character_set = CharacterSet.binary
+    return ResultColumn(name, column_type, character_set)
+
+
 def make_every_type_result() -> ResultSet:
     """Return two rows with every type.
 
@@ -42,7 +69,7 @@
         The result set.
     """
     columns = [
-        ResultColumn(f"c_{column_type.name.lower()}", column_type)
+        make_column(f"c_{column_type.name.lower()}", column_type)
         for column_type in VALUES_BY_TYPE
     ]
     rows = list(zip(*VALUES_BY_TYPE.values(), strict=True))
