Let reads wait as declared, and judge which primary reads were avoidable

Change: [read KIND] wait-ms declares how long a read waits for a replica; a read at the primary is counted as avoidable or unavoidable from the replicas' next reports. A connection with an open transaction is never lent again, whatever the caller of the pool says; a failed claim of a request id gave one back. The stand-in held a slot while it waited for a lock, which stopped it.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,6 +1,8 @@
 """A deployment of stand-ins and daemons on loopback."""
 
 import json
+import random
+import signal
 import socket
 import tempfile
 import time
@@ -19,6 +21,8 @@
 BACKEND_PASSWORD = "backend"
 ADMIN_TOKEN = "operator-token-0123456789"
 READY_LIMIT_S = 30.0
+SERVER_PORTS = (10_000, 32_000)
+_ports_taken: set[int] = set()
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +42,7 @@
     lag_ms: float = 10.0
     service_ms: float = 0.0
     rules: str = ""
+    read_wait_ms: int = 60
 
     @property
     def domains(self) -> list[str]:
@@ -68,6 +73,7 @@
     servers_by_id: dict[str, Process] = field(default_factory=dict)
     server_ports: dict[str, int] = field(default_factory=dict)
     nodes_by_id: dict[str, Process] = field(default_factory=dict)
+    links_by_node: dict[str, Process] = field(default_factory=dict)
     caller_ports: dict[str, int] = field(default_factory=dict)
     admin_ports: dict[str, int] = field(default_factory=dict)
     domain_by_node: dict[str, str] = field(default_factory=dict)
@@ -148,7 +154,9 @@
         )
         lines.append(f"[customer advisors]\nusers = {CALLER_USER}\n")
         lines.append("[customer flooders]\nusers = flood\n")
-        lines.append("[read default]\nmax-age-ms = 10000\n")
+        lines.append(
+            f"[read default]\nmax-age-ms = 10000\nwait-ms = {shape.read_wait_ms}\n"
+        )
         for group in range(1, shape.groups + 1):
             lines.append(
                 f"[group group-{group}]\ndatabase = db{group}\n"
@@ -191,11 +199,19 @@
         (self.folder / f"{node_id}.backend.ini").write_text(
             f"[backend]\nuser = {node_id}\npassword = {BACKEND_PASSWORD}\n"
         )
+        link = Process(
+            f"link-{node_id}",
+            ["standins.link", "--target", f"127.0.0.1:{peer_port}"],
+            self.folder,
+        )
+        self.links_by_node[node_id] = link
+        link_port = link.read_port()
         settings = self.folder / f"{node_id}.ini"
         settings.write_text(
             f"[node]\nnode-id = {node_id}\nfailure-domain = {domain}\n"
             f"[listen]\ncallers = 127.0.0.1:{ports[0]}\n"
             f"peers = 127.0.0.1:{peer_port}\nadmin = 127.0.0.1:{ports[2]}\n"
+            f"advertise-peers = tcp://127.0.0.1:{link_port}\n"
             f"[platform]\nurl = http://127.0.0.1:{self.platform_port}\n"
             f"token-file = {node_id}.token\n"
             f"[peers]\nkey-file = curve.ini\n"
@@ -236,11 +252,48 @@
 
     def stop(self) -> None:
         """End all processes."""
-        for process in (*self.nodes_by_id.values(), *self.servers_by_id.values()):
-            process.kill()
+        for group in (self.nodes_by_id, self.servers_by_id, self.links_by_node):
+            for process in group.values():
+                process.kill()
         if self.platform is not None:
             self.platform.kill()
 
+    # Faults.
+
+    def cut_domain(self, domain: str) -> None:
+        """Cut a failure domain off from the others and from the platform.
+
+        Its own entry VMs and backend servers still reach each other, except that its
+        entry VMs get no peer messages at all.
+
+        Args:
+            domain: The failure domain.
+        """
+        inside = [node for node, name in self.domain_by_node.items() if name == domain]
+        outside = [node for node in self.domain_by_node if node not in inside]
+        for node_id in inside:
+            self.links_by_node[node_id].send_signal(signal.SIGSTOP)
+        self.call_platform("POST", "/control", {"cut_tokens": inside})
+        for server_id in self.servers_by_id:
+            is_inside = self.domain_by_server[server_id] == domain
+            cut_users = outside if is_inside else inside
+            cut_servers = [
+                other
+                for other, name in self.domain_by_server.items()
+                if (name == domain) != is_inside
+            ]
+            self.control_server(server_id, "cut_users", ",".join(cut_users))
+            self.control_server(server_id, "cut_servers", ",".join(cut_servers))
+
+    def mend_cuts(self) -> None:
+        """Undo cut_domain."""
+        for link in self.links_by_node.values():
+            link.send_signal(signal.SIGCONT)
+        self.call_platform("POST", "/control", {"cut_tokens": []})
+        for server_id in self.servers_by_id:
+            self.control_server(server_id, "cut_users", "")
+            self.control_server(server_id, "cut_servers", "")
+
     # Calls.
 
     def call_platform(self, method: str, path: str, body: dict | None = None) -> dict:
@@ -384,14 +437,25 @@
 
 
 def find_free_port() -> int:
-    """Return a port that the system says is free.
+    """Return a free port below the range from which the system takes client ports.
+
+    A port that the system chooses could become the client end of another process's
+    connection before the process it is meant for listens on it.
 
     Returns:
-        A port on loopback.
+        A port on loopback that has not been returned before.
     """
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.randrange(*SERVER_PORTS)
+        if port in _ports_taken:
+            continue
+        _ports_taken.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 class RunningCluster:
--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -122,7 +122,16 @@
         super().__init__(connect_timeout=CONNECT_TIMEOUT_S, autocommit=None, **options)
         self._client_flag &= ~CLIENT.MULTI_STATEMENTS
         self._client_flag &= ~CLIENT.LOCAL_FILES
-        self.statement_ids_by_text: dict[str, tuple[int, bytes]] = {}
+        self.statement_ids_by_text: dict[str, tuple[int, list[bytes]]] = {}
+        self.has_open_transaction = False
+
+    def note_status(self, status: int) -> None:
+        """Keep whether the server holds a transaction open on this connection.
+
+        Args:
+            status: Status flags of the newest answer; errors carry none.
+        """
+        self.has_open_transaction = is_in_transaction(status)
 
     @property
     def deprecates_eof(self) -> bool:
@@ -204,6 +213,7 @@
                 raise BackendLostError(str(error)) from error
             raise
         result = self._result
+        self.note_status(result.server_status)
         if result.description is not None:
             return list(result.rows)
         return OkPacket(
--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -194,7 +194,10 @@
             return
         self._leases.discard(lease)
         is_surplus = self.open_count > self.queue.capacity
-        if reusable and not is_surplus and not is_broken(lease.connection):
+        is_clean = not is_broken(lease.connection) and (
+            not lease.connection.has_open_transaction
+        )
+        if reusable and is_clean and not is_surplus:
             self._idle.append((lease.connection, lease.opened_for_term))
         else:
             self._close(lease.connection)
--- a/pollencleat/callers/executor.py
+++ b/pollencleat/callers/executor.py
@@ -11,7 +11,6 @@
 import asyncmy.errors
 
 from pollencleat.backend import operations
-from pollencleat.backend.connection import is_in_transaction
 from pollencleat.backend.pool import Lease
 from pollencleat.callers.commands import BackendStatementError, Command
 from pollencleat.callers.gateway import Gateway, unix_time_s
@@ -23,7 +22,7 @@
 )
 from pollencleat.callers.session import CallerSession, Transaction
 from pollencleat.callers.stream import CallerStream
-from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, Position
+from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, Position, ReadRule
 from pollencleat.core.errors import (
     BackendError,
     BackendLostError,
@@ -132,18 +131,24 @@
         Returns:
             Floor and age limit.
         """
+        rule = self._find_read_rule(hints)
         floor = await self._find_floor(group.group_id)
-        return ReadRequest(group.group_id, floor, self._find_max_age_s(hints))
+        max_age_ms = rule.max_age_ms
+        if hints.max_age_ms is not None:
+            max_age_ms = min(max_age_ms, hints.max_age_ms)
+        max_age_ms = min(max_age_ms, MAX_AGE_LIMIT_MS)
+        return ReadRequest(
+            group.group_id, floor, max_age_ms / 1000, rule.wait_ms / 1000
+        )
 
-    def _find_max_age_s(self, hints: Hints) -> float:
+    def _find_read_rule(self, hints: Hints) -> ReadRule:
         rules = self.gateway.board.inventory.read_rules_by_kind
         rule = rules.get(hints.kind or DEFAULT_KIND)
-        if rule is None and hints.kind:
+        if rule is not None:
+            return rule
+        if hints.kind:
             raise InvalidHintError(f"no read kind {hints.kind!r} is declared")
-        max_age_ms = rule.max_age_ms if rule else DEFAULT_MAX_AGE_MS
-        if hints.max_age_ms is not None:
-            max_age_ms = min(max_age_ms, hints.max_age_ms)
-        return min(max_age_ms, MAX_AGE_LIMIT_MS) / 1000
+        return ReadRule(DEFAULT_KIND, DEFAULT_MAX_AGE_MS)
 
     async def _find_floor(self, group_id: str) -> int:
         session = self.session
@@ -182,7 +187,7 @@
             if is_primary and not self._may_show_primary_read(term):
                 raise BackendLostError("the primary may have been replaced")
             status = await self._hand_on(answer, lease)
-            reusable = status is not None and not is_in_transaction(status)
+            reusable = status is not None
             return None
         except TimeoutError:
             raise BackendLostError(f"{server_id} does not answer") from None
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -12,7 +12,6 @@
 from pollencleat.backend.monitor import ServerMonitor
 from pollencleat.backend.pool import Credentials, Lease, ServerPool
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.constants import SAMPLE_S
 from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, Position
 from pollencleat.core.errors import (
     BackendError,
@@ -26,7 +25,12 @@
 from pollencleat.limits.shares import connections_allowed
 from pollencleat.membership.permits import permit_ends_at, writable_term
 from pollencleat.reports.metrics import Metrics
-from pollencleat.routing.freshness import record_silence, record_status
+from pollencleat.routing.accounting import PrimaryReadAccount
+from pollencleat.routing.freshness import (
+    is_replica_status,
+    record_silence,
+    record_status,
+)
 from pollencleat.routing.reads import (
     ReadRequest,
     choose_replica,
@@ -34,9 +38,6 @@
 )
 
 WRITES_RETRY_AFTER_MS = 200
-REPLICA_WAIT_S = 0.06
-"""How long a read waits for a replica before it goes to the primary."""
-
 REPLICA_POLL_S = 0.004
 WARM_CONNECTIONS = 3
 log = structlog.get_logger()
@@ -79,6 +80,7 @@
         self.retry_budget = RetryBudget()
         self.pools_by_server: dict[str, ServerPool] = {}
         self.monitors_by_server: dict[str, ServerMonitor] = {}
+        self._account = PrimaryReadAccount(metrics.count)
         self._loads = LoadByServer(self.pools_by_server)
         self._credentials = credentials
         self._inventory_version = -1
@@ -209,6 +211,8 @@
             record_silence(self.board, server_id, False, self.clock())
         else:
             record_status(self.board, server_id, status, sent_at_s, self.clock())
+            group_id = monitor.server.group_id
+            self._account.add_report(group_id, server_id, status.position, sent_at_s)
 
     def sample_all(self) -> None:
         """Start a sample of every server that is not being sampled."""
@@ -370,13 +374,15 @@
         server_id = choose_replica(self.board, request, self._loads, now_s)
         if server_id is not None:
             return server_id
-        if is_wait_worthwhile(self.board, request, REPLICA_WAIT_S + SAMPLE_S, now_s):
-            server_id = await self._wait_for_replica(request, now_s + REPLICA_WAIT_S)
+        if is_wait_worthwhile(self.board, request):
+            server_id = await self._wait_for_replica(request, now_s + request.wait_s)
             if server_id is not None:
                 return server_id
         now_s = self.clock()
         term = writable_term(self.board, request.group_id, now_s)
         if term is not None and term.primary not in self.board.vms.leaving:
+            if request.max_age_s > 0:
+                self._account_primary_read(request, term, now_s)
             return term.primary
         server_id = choose_replica(self.board, request, self._loads, now_s, True)
         if server_id is not None:
@@ -387,6 +393,18 @@
             WRITES_RETRY_AFTER_MS,
         )
 
+    def _account_primary_read(
+        self, request: ReadRequest, term: GroupTerm, now_s: float
+    ) -> None:
+        replicas = set()
+        for server_id in self.board.inventory.groups_by_id[request.group_id].server_ids:
+            view = self.board.servers_by_id.get(server_id)
+            if view is None or view.status is None or view.refused_at_s is not None:
+                continue
+            if server_id != term.primary and is_replica_status(term, view.status):
+                replicas.add(server_id)
+        self._account.add_read(request.group_id, request.floor, replicas, now_s)
+
     async def _wait_for_replica(
         self, request: ReadRequest, until_s: float
     ) -> str | None:
@@ -396,7 +414,7 @@
         while self.clock() < until_s:
             tasks = [self.sample(name) for name in replicas]
             await asyncio.wait(
-                tasks, timeout=REPLICA_WAIT_S, return_when=asyncio.FIRST_COMPLETED
+                tasks, timeout=request.wait_s, return_when=asyncio.FIRST_COMPLETED
             )
             server_id = choose_replica(self.board, request, self._loads, self.clock())
             if server_id is not None:
--- a/pollencleat/callers/relay.py
+++ b/pollencleat/callers/relay.py
@@ -55,7 +55,9 @@
     """
     first = await connection.read_raw()
     if first[0] == OK_HEADER:
-        return Answer(first, ok=parse_ok_packet(first))
+        ok = parse_ok_packet(first)
+        connection.note_status(ok.status)
+        return Answer(first, ok=ok)
     if first[0] == ERROR_HEADER:
         return Answer(first, is_error=True)
     if first[0] == LOCAL_INFILE_HEADER:
@@ -102,6 +104,7 @@
             await stream.forward(data)
             return None
         status = status_of_end(data, deprecates_eof)
+        connection.note_status(status)
         if deprecates_eof == caller_deprecates_eof:
             await stream.forward(data)
         elif caller_deprecates_eof:
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -72,10 +72,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadRule:
-    """How old the answer to a kind of read may be, in milliseconds."""
+    """How a kind of read is answered.
+
+    Attributes:
+        max_age_ms: How old the answer may be.
+        wait_ms: How long the read waits for a replica before it takes a connection of
+            the primary.
+    """
 
     kind: str
     max_age_ms: int
+    wait_ms: int = 60
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/inventory/parser.py
+++ b/pollencleat/inventory/parser.py
@@ -100,6 +100,7 @@
     """A kind of read."""
 
     max_age_ms: Annotated[int, pydantic.Field(ge=0)]
+    wait_ms: Annotated[int, pydantic.Field(ge=0, le=5_000)] = 60
 
 
 @section_kind("rules")
@@ -193,7 +194,7 @@
         },
         servers_by_id=servers_by_id,
         read_rules_by_kind={
-            name: ReadRule(name, section.max_age_ms)
+            name: ReadRule(name, section.max_age_ms, section.wait_ms)
             for name, section in sections_by_kind["read"].items()
         },
         rules=Rules(**rules.model_dump()),
--- /dev/null
+++ b/pollencleat/routing/accounting_test.py
@@ -0,0 +1,39 @@
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollencleat.routing.accounting import PrimaryReadAccount
+
+
+@given(
+    st.lists(st.integers(0, 9), min_size=1, max_size=20),
+    st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 9)), max_size=40),
+)
+def test_each_read_is_judged_at_most_once(floors, reports):
+    counts = Counter()
+    account = PrimaryReadAccount(lambda name: counts.update([name]))
+    for number, floor in enumerate(floors):
+        account.add_read("g", floor, {"a", "b"}, float(number))
+    for number, (server_id, position) in enumerate(reports):
+        account.add_report("g", server_id, position, 100.0 + number)
+    assert counts.total() <= len(floors)
+
+
+def test_report_from_before_the_decision_proves_nothing():
+    counts = Counter()
+    account = PrimaryReadAccount(lambda name: counts.update([name]))
+    account.add_read("g", 5, {"a"}, 10.0)
+    account.add_report("g", "a", 3, 9.0)
+    assert not counts
+    account.add_report("g", "a", 4, 11.0)
+    assert counts == {"read_primary_unavoidable": 1}
+
+
+def test_replica_that_has_the_floor_makes_the_read_avoidable():
+    counts = Counter()
+    account = PrimaryReadAccount(lambda name: counts.update([name]))
+    account.add_read("g", 5, {"a", "b"}, 10.0)
+    account.add_report("g", "a", 4, 11.0)
+    account.add_report("g", "b", 5, 11.0)
+    assert counts == {"read_primary_avoidable": 1}
--- a/pollencleat/routing/reads.py
+++ b/pollencleat/routing/reads.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.constants import SAMPLE_S
 from pollencleat.core.data import GroupTerm
 from pollencleat.routing.freshness import is_primary_status, is_replica_status
 
@@ -24,11 +25,13 @@
     Attributes:
         floor: Position that the answer must include.
         max_age_s: Age limit of the answer; 0 for the primary only.
+        wait_s: How long to wait for a replica.
     """
 
     group_id: str
     floor: int
     max_age_s: float
+    wait_s: float = 0.0
 
 
 def choose_replica(
@@ -114,22 +117,19 @@
     return status.read_only and bool(status.following)
 
 
-def is_wait_worthwhile(
-    board: Blackboard, request: ReadRequest, budget_s: float, now_s: float
-) -> bool:
-    """Return whether a replica will probably qualify within a time.
+def is_wait_worthwhile(board: Blackboard, request: ReadRequest) -> bool:
+    """Return whether a replica will probably qualify within the read's wait.
 
     Args:
         board: The node's state.
         request: What the read needs.
-        budget_s: How long the read could wait.
-        now_s: Local time.
 
     Returns:
-        True if some replica is a live follower whose lag is below the budget.
+        True if some replica is a live follower whose lag was below the wait, as far as
+        samples of the primary can tell.
     """
     term = board.fleet.terms_by_group.get(request.group_id)
-    if term is None or not term.primary or request.max_age_s <= 0:
+    if term is None or not term.primary or min(request.max_age_s, request.wait_s) <= 0:
         return False
     for server_id in board.inventory.groups_by_id[request.group_id].server_ids:
         view = board.servers_by_id.get(server_id)
@@ -139,6 +139,7 @@
             continue
         if not is_replica_status(term, view.status):
             continue
-        if view.status_sent_at_s - view.fresh_as_of_s <= budget_s:
+        lag_s = view.status_sent_at_s - view.fresh_as_of_s
+        if lag_s <= request.wait_s + SAMPLE_S:
             return True
     return False
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -138,10 +138,12 @@
             match = pattern.match(bare)
             if match:
                 return await function(self, match)
+        # A slot is not held while waiting for another transaction's end: the holder of
+        # that transaction needs a slot to go on.
         async with self.server.slot_semaphore:
             if self.server.service_s:
                 await asyncio.sleep(self.server.service_s)
-            result = await self._execute_sql(bare)
+        result = await self._execute_sql(bare)
         await self._wait_while_cut()
         return result
 
