--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -333,6 +333,17 @@
         url = f"http://127.0.0.1:{self.admin_ports[node_id]}{path}"
         return call_json("GET", url, None, ADMIN_TOKEN)
 
+    def apply_inventory(self, text: str, expected_version: int) -> None:
+        """Apply an inventory through a node.
+
+        Args:
+            text: INI text.
+            expected_version: The version in force.
+        """
+        port = next(iter(self.admin_ports.values()))
+        body = {"text": text, "expected_version": expected_version}
+        call_json("PUT", f"http://127.0.0.1:{port}/v1/inventory", body, ADMIN_TOKEN)
+
     def read_metrics(self, node_id: str) -> str:
         """Scrape a node.
 
--- /dev/null
+++ b/bench/failures_test.py
@@ -0,0 +1,214 @@
+"""Failures of the running system, over real sockets."""
+
+import asyncio
+
+import asyncmy.errors
+import pytest
+import pytest_asyncio
+
+from bench.inprocess import Deployment
+
+pytestmark = pytest.mark.asyncio
+
+
+@pytest_asyncio.fixture
+async def deployment():
+    created = Deployment()
+    await created.start(2)
+    connection = await created.connect()
+    await run(connection, "CREATE TABLE t (id INTEGER PRIMARY KEY, v VARCHAR(20))")
+    connection.close()
+    yield created
+    await created.stop()
+
+
+async def run(connection, sql):
+    cursor = connection.cursor()
+    await cursor.execute(sql)
+    return list(await cursor.fetchall() or ())
+
+
+def primary_of(deployment):
+    return deployment.nodes["n0"].board.group_term("g").primary
+
+
+async def wait_for_new_primary(deployment, old):
+    while True:
+        term = deployment.nodes["n0"].board.group_term("g")
+        if term.primary not in ("", old):
+            return term.primary
+        await asyncio.sleep(0.02)
+
+
+def count_rows(deployment, name, value):
+    server = deployment.servers[name]
+    return sum(
+        f"'{value}'" in sql for entry in server.database.log for sql in entry.statements
+    )
+
+
+async def test_write_in_flight_when_the_server_dies_is_unknown_and_runs_once(
+    deployment,
+):
+    primary = primary_of(deployment)
+    connection = await deployment.connect()
+    deployment.servers[primary].service_s = 0.5
+    writing = asyncio.create_task(run(connection, "INSERT INTO t (v) VALUES ('x')"))
+    await asyncio.sleep(0.2)
+    await deployment.kill_server(primary)
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await writing
+    assert "UnknownOutcomeError [unknown]" in str(caught.value)
+    new = await wait_for_new_primary(deployment, primary)
+    assert count_rows(deployment, new, "x") <= 1
+    connection.close()
+
+
+async def test_answer_after_the_permit_lapsed_is_not_acknowledged(deployment):
+    node = deployment.nodes["n0"]
+    connection = await deployment.connect()
+    deployment.servers[primary_of(deployment)].service_s = 0.3
+    writing = asyncio.create_task(run(connection, "INSERT INTO t (v) VALUES ('late')"))
+    await asyncio.sleep(0.1)
+    board = node.board
+    board.fleet = type(board.fleet)(board.fleet.version + 1)
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await writing
+    assert "[unknown]" in str(caught.value)
+    assert node.metrics.counts[("acknowledgement_withheld", "g")] == 1
+    connection.close()
+
+
+async def test_transaction_on_a_lost_primary_is_rolled_back_and_told(deployment):
+    primary = primary_of(deployment)
+    connection = await deployment.connect()
+    await connection.begin()
+    await run(connection, "INSERT INTO t (v) VALUES ('tx')")
+    await deployment.kill_server(primary)
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await run(connection, "INSERT INTO t (v) VALUES ('tx')")
+    assert "[failed]" in str(caught.value) or "[unknown]" in str(caught.value)
+    new = await wait_for_new_primary(deployment, primary)
+    assert count_rows(deployment, new, "tx") == 0
+    connection.close()
+
+
+async def test_session_is_told_once_that_a_failover_lost_its_write(deployment):
+    primary = primary_of(deployment)
+    await asyncio.sleep(0.3)
+    deployment.servers[primary].cut_servers = frozenset(deployment.servers)
+    await asyncio.sleep(0.3)
+    connection = await deployment.connect("n1")
+    await run(connection, "INSERT INTO t (v) VALUES ('lost')")
+    await deployment.kill_server(primary)
+    await wait_for_new_primary(deployment, primary)
+    await asyncio.sleep(0.3)
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await run(connection, "SELECT v FROM t WHERE v = 'lost'")
+    assert "SessionHistoryLostError" in str(caught.value)
+    assert await run(connection, "SELECT v FROM t WHERE v = 'lost'") == []
+    connection.close()
+
+
+async def test_request_id_is_found_after_a_failover(deployment):
+    sql = "INSERT /* pollencleat: request_id=fo-1 */ INTO t (v) VALUES ('fo')"
+    primary = primary_of(deployment)
+    connection = await deployment.connect()
+    await run(connection, sql)
+    await asyncio.sleep(0.2)
+    await deployment.kill_server(primary)
+    new = await wait_for_new_primary(deployment, primary)
+    for _ in range(50):
+        try:
+            await run(connection, sql)
+            break
+        except asyncmy.errors.MySQLError:
+            await asyncio.sleep(0.1)
+    assert count_rows(deployment, new, "fo") == 1
+    connection.close()
+
+
+async def test_leaving_replica_gets_no_new_work(deployment):
+    primary = primary_of(deployment)
+    leaving = next(name for name in deployment.servers if name != primary)
+    deployment.platform.leaving = [leaving]
+    deployment.platform.vms_version += 1
+    while leaving not in deployment.nodes["n0"].board.vms.leaving:
+        await asyncio.sleep(0.02)
+    executed = []
+    server = deployment.servers[leaving]
+    for session in server.sessions:
+        session.in_use_before = True
+    original = type(next(iter(server.sessions))).execute
+
+    async def note(session, sql):
+        if session.server is server and "FROM t" in sql:
+            executed.append(sql)
+        return await original(session, sql)
+
+    type(next(iter(server.sessions))).execute = note
+    try:
+        connection = await deployment.connect()
+        for _ in range(40):
+            await run(connection, "SELECT v FROM t")
+        connection.close()
+    finally:
+        type(next(iter(server.sessions))).execute = original
+    assert executed == []
+
+
+async def test_writes_go_on_in_a_platform_outage(deployment):
+    connection = await deployment.connect()
+    await asyncio.sleep(1.0)
+    deployment.platform.outage = True
+    for _ in range(35):
+        await run(connection, "INSERT INTO t (v) VALUES ('outage')")
+        await asyncio.sleep(0.1)
+    assert deployment.nodes["n0"].board.fresh_at_s > 0
+    deployment.platform.outage = False
+    connection.close()
+
+
+async def test_graceful_stop_cuts_off_nothing_in_flight(deployment):
+    node = deployment.nodes.pop("n1")
+    deployment.nodes["n1"] = node
+    idle = await deployment.connect("n1")
+    in_transaction = await deployment.connect("n1")
+    await in_transaction.begin()
+    await run(in_transaction, "INSERT INTO t (v) VALUES ('drain')")
+    slow = await deployment.connect("n1")
+    for server in deployment.servers.values():
+        server.service_s = 0.4
+    reading = asyncio.create_task(run(slow, "SELECT 1"))
+    await asyncio.sleep(0.1)
+    stopping = asyncio.create_task(node.stop())
+    await asyncio.sleep(0.1)
+    with pytest.raises((asyncmy.errors.MySQLError, OSError)):
+        await deployment.connect("n1")
+    assert len(await reading) == 1
+    await run(in_transaction, "INSERT INTO t (v) VALUES ('drain')")
+    await in_transaction.commit()
+    await stopping
+    assert node.metrics.counts[("drain_cut_off", "")] == 0
+    del deployment.nodes["n1"]
+    while "n1" in deployment.nodes["n0"].board.fleet.members_by_id:
+        await asyncio.sleep(0.02)
+    assert count_rows(deployment, primary_of(deployment), "drain") == 2
+    idle.close()
+
+
+async def test_overload_is_refused_early_as_not_run(deployment):
+    for server in deployment.servers.values():
+        server.service_s = 0.5
+    connections = [await deployment.connect() for _ in range(60)]
+    results = await asyncio.gather(
+        *(run(item, "INSERT INTO t (v) VALUES ('load')") for item in connections),
+        return_exceptions=True,
+    )
+    refused = [item for item in results if isinstance(item, Exception)]
+    assert refused and all("[not run]" in str(item) for item in refused)
+    assert all("retry after" in str(item) for item in refused)
+    done = len(results) - len(refused)
+    assert count_rows(deployment, primary_of(deployment), "load") == done
+    for item in connections:
+        item.close()
--- /dev/null
+++ b/pollencleat/backend/pool_test.py
@@ -0,0 +1,160 @@
+import asyncio
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pollencleat.backend import pool as pool_module
+from pollencleat.backend.pool import Credentials, ServerPool
+from pollencleat.core.data import BackendServer
+from pollencleat.core.errors import BackendError, OverloadedError
+
+SHARE = 4
+ACTIONS = ("borrow", "keep", "drop", "warm", "cancel")
+SERVER = BackendServer("s", "g", "h", 1, "d", 2, 30)
+
+
+class FakeConnection:
+    """Stands in for a driver connection."""
+
+    numbers = itertools.count()
+
+    def __init__(self):
+        self.number = next(self.numbers)
+        self.connected = True
+        self.has_open_transaction = False
+        self._proto = self
+        self.eof = False
+
+    def close(self):
+        self.connected = False
+
+
+@pytest.fixture
+def opened(monkeypatch):
+    connections = []
+
+    async def open_connection(*options):
+        await asyncio.sleep(0)
+        connections.append(FakeConnection())
+        return connections[-1]
+
+    monkeypatch.setattr(pool_module, "open_connection", open_connection)
+    return connections
+
+
+def make_pool():
+    clock = itertools.count()
+    pool = ServerPool(SERVER, "d", Credentials("u", "p"), lambda: next(clock) * 0.001)
+    pool.allow(SHARE)
+    return pool
+
+
+async def borrow(pool, term=1, wait_s=1000.0):
+    return await pool.borrow("c", 10, pool._clock() + wait_s, term)
+
+
+async def test_clean_connection_is_lent_again(opened):
+    pool = make_pool()
+    (await borrow(pool)).give_back(True)
+    await borrow(pool)
+    assert len(opened) == 1
+
+
+@pytest.mark.parametrize("fault", ["not reusable", "open transaction", "ended", "term"])
+async def test_doubtful_connection_is_never_lent_again(opened, fault):
+    pool = make_pool()
+    lease = await borrow(pool)
+    first = lease.connection
+    first.has_open_transaction = fault == "open transaction"
+    first.eof = fault == "ended"
+    lease.give_back(fault != "not reusable")
+    second = await borrow(pool, term=2 if fault == "term" else 1)
+    assert second.connection is not first
+    assert not first.connected
+    assert pool.open_count == 1
+
+
+async def test_second_return_does_nothing(opened):
+    pool = make_pool()
+    lease = await borrow(pool)
+    lease.give_back(True)
+    lease.give_back(True)
+    assert pool.open_count == 1 and pool.queue.in_use == 0
+
+
+async def test_new_term_ends_connections_in_use(opened):
+    pool = make_pool()
+    lease = await borrow(pool, term=1)
+    (await borrow(pool, term=1)).give_back(True)
+    pool.end_older_terms(2)
+    assert not lease.connection.connected
+    lease.give_back(True)
+    assert pool.open_count == 0
+
+
+async def test_failed_opening_frees_its_turn(opened, monkeypatch):
+    pool = make_pool()
+
+    async def refuse(*options):
+        raise BackendError("refused")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(pool_module, "open_connection", refuse)
+        for _ in range(10):
+            with pytest.raises(Exception, match="refused"):
+                await borrow(pool)
+    assert pool.open_count == 0 and pool.queue.in_use == 0
+    await borrow(pool)
+
+
+@settings(max_examples=40)
+@given(
+    st.lists(st.sampled_from(["borrow", "keep", "drop", "warm", "cancel"]), max_size=30)
+)
+def test_share_is_never_exceeded(actions):
+    async def scenario():
+        pool = make_pool()
+        leases = []
+        waiting = []
+        for action in actions:
+            if action == "borrow":
+                waiting.append(asyncio.create_task(borrow(pool)))
+            elif action == "warm":
+                waiting.append(asyncio.create_task(pool.warm_up(3, 1)))
+            elif action == "cancel" and waiting:
+                waiting.pop().cancel()
+            elif leases:
+                leases.pop().give_back(action == "keep")
+            for _ in range(3):
+                await asyncio.sleep(0)
+            for task in [task for task in waiting if task.done()]:
+                waiting.remove(task)
+                if not task.cancelled() and task.exception() is None and task.result():
+                    leases.append(task.result())
+            assert pool.open_count <= SHARE - 1
+            assert pool.queue.in_use <= SHARE - 1
+        for task in waiting:
+            task.cancel()
+
+    async def open_connection(*options):
+        await asyncio.sleep(0)
+        return FakeConnection()
+
+    original = pool_module.open_connection
+    pool_module.open_connection = open_connection
+    try:
+        asyncio.run(scenario())
+    finally:
+        pool_module.open_connection = original
+
+
+async def test_wait_beyond_the_deadline_is_refused(opened):
+    pool = make_pool()
+    for _ in range(SHARE - 1):
+        await borrow(pool)
+    with pytest.raises(OverloadedError) as caught:
+        await borrow(pool, wait_s=0.05)
+    assert caught.value.retry_after_ms > 0
+    assert pool.queue.waiting == 0
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -374,7 +374,7 @@
         server_id = choose_replica(self.board, request, self._loads, now_s)
         if server_id is not None:
             return server_id
-        if is_wait_worthwhile(self.board, request):
+        if is_wait_worthwhile(self.board, request, now_s):
             server_id = await self._wait_for_replica(request, now_s + request.wait_s)
             if server_id is not None:
                 return server_id
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -70,8 +70,9 @@
 CHOOSE_WAIT_S = 0.4
 """How long servers that do not answer are waited for."""
 
-CATCH_UP_LIMIT_S = 5.0
-"""How long a chosen replica may take to apply what it has to."""
+CATCH_UP_LIMIT_S = 12.0
+"""How long a chosen replica may take to apply what it has to; more would lose the
+bound of 20 s for a change of primary, less would lose writes that it has received."""
 
 STEP_LIMIT_S = 1.5
 """How long a command to a server may stay unanswered."""
--- a/pollencleat/routing/reads.py
+++ b/pollencleat/routing/reads.py
@@ -117,20 +117,29 @@
     return status.read_only and bool(status.following)
 
 
-def is_wait_worthwhile(board: Blackboard, request: ReadRequest) -> bool:
+def is_wait_worthwhile(board: Blackboard, request: ReadRequest, now_s: float) -> bool:
     """Return whether a replica will probably qualify within the read's wait.
 
+    A replica that lags by L has the floor L after the primary had it, so what is left
+    of L since then decides, not L itself.
+
     Args:
         board: The node's state.
         request: What the read needs.
+        now_s: Local time.
 
     Returns:
-        True if some replica is a live follower whose lag was below the wait, as far as
-        samples of the primary can tell.
+        True if some live follower should have the floor by the end of the wait, as far
+        as samples of the primary can tell.
     """
     term = board.fleet.terms_by_group.get(request.group_id)
     if term is None or not term.primary or min(request.max_age_s, request.wait_s) <= 0:
         return False
+    samples = board.primary_samples_by_group.get(request.group_id)
+    if samples is None:
+        return False
+    written_at_s = samples.time_covered_by(request.floor - 1)
+    written_ago_s = 0.0 if written_at_s is None else now_s - written_at_s
     for server_id in board.inventory.groups_by_id[request.group_id].server_ids:
         view = board.servers_by_id.get(server_id)
         if view is None or view.status is None or server_id == term.primary:
@@ -140,6 +149,6 @@
         if not is_replica_status(term, view.status):
             continue
         lag_s = view.status_sent_at_s - view.fresh_as_of_s
-        if lag_s <= request.wait_s + SAMPLE_S:
+        if lag_s - written_ago_s <= request.wait_s + SAMPLE_S:
             return True
     return False
