--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -15,6 +15,7 @@
     BackendError,
     BackendLostError,
     BackendRefusedError,
+    FailedError,
 )
 
 CONNECT_TIMEOUT_S = 2
@@ -26,6 +27,8 @@
 """An EOF packet is shorter; a row that begins alike is longer."""
 
 MAX_PACKET_BYTES = 0xFFFFFF
+CLIENT_SIDE_CODES = frozenset({0, 2000, 2006, 2013, 2014})
+"""Codes of errors that the driver raises by itself when the connection is unusable."""
 
 
 class RawPacket:
@@ -114,6 +117,33 @@
     return ErrorPacket(code, "HY000", data[3:].decode("utf8", "replace"))
 
 
+def make_error_packet(error: asyncmy.errors.MySQLError) -> bytes:
+    """Return the packet of an error that the driver has decoded.
+
+    Args:
+        error: An error that a server sent.
+
+    Returns:
+        The payload.
+    """
+    code = int(error.args[0])
+    message = str(error.args[1]) if len(error.args) > 1 else str(error)
+    sqlstate = (error.sqlstate or "HY000").encode()
+    return b"\xff" + code.to_bytes(2, "little") + b"#" + sqlstate + message.encode()
+
+
+class BackendStatementError(FailedError):
+    """A backend server answered a statement with an error packet."""
+
+    def __init__(self, packet: bytes) -> None:
+        """Keep the packet, to hand it on unchanged."""
+        parsed = parse_error_packet(packet)
+        super().__init__(parsed.message)
+        self.packet = packet
+        self.code = parsed.code
+        self.sqlstate = parsed.sqlstate
+
+
 class BackendConnection(asyncmy.connection.Connection):
     """A driver connection that sends commands and reads raw packets."""
 
@@ -201,17 +231,17 @@
             The OK packet's fields, or the rows.
 
         Raises:
-            asyncmy.errors.MySQLError: The server refused the statement.
+            BackendStatementError: The server refused the statement.
             BackendLostError: The connection broke.
         """
         try:
             await self.query(sql)
         except (asyncmy.errors.InterfaceError, OSError) as error:
             raise BackendLostError(str(error)) from error
-        except asyncmy.errors.OperationalError as error:
-            if error.args and error.args[0] in (2006, 2013, 2014):
+        except asyncmy.errors.MySQLError as error:
+            if not error.args or error.args[0] in CLIENT_SIDE_CODES:
                 raise BackendLostError(str(error)) from error
-            raise
+            raise BackendStatementError(make_error_packet(error)) from error
         result = self._result
         self.note_status(result.server_status)
         if result.description is not None:
--- a/pollencleat/backend/monitor.py
+++ b/pollencleat/backend/monitor.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import asyncmy.errors
-
 from pollencleat.backend import operations
-from pollencleat.backend.connection import BackendConnection, open_connection
+from pollencleat.backend.connection import (
+    BackendConnection,
+    BackendStatementError,
+    open_connection,
+)
 from pollencleat.backend.pool import Credentials, is_broken
 from pollencleat.core.data import BackendServer, ServerStatus
 from pollencleat.core.errors import BackendError, BackendRefusedError
@@ -108,7 +110,7 @@
                     raise
         except BackendRefusedError:
             raise
-        except (asyncmy.errors.MySQLError, TimeoutError, OSError) as error:
+        except (BackendStatementError, TimeoutError, OSError) as error:
             raise BackendError(f"{self.server.server_id}: {error}") from error
 
     async def _connect(self) -> BackendConnection:
--- a/pollencleat/callers/commands.py
+++ b/pollencleat/callers/commands.py
@@ -10,9 +10,9 @@
     PREPARE_COMMAND,
     QUERY_COMMAND,
     BackendConnection,
-    parse_error_packet,
+    BackendStatementError,
 )
-from pollencleat.core.errors import FailedError, InvalidHintError
+from pollencleat.core.errors import InvalidHintError
 
 STATEMENTS_KEPT = 64
 """Prepared statements that stay open on one backend connection."""
@@ -129,18 +129,6 @@
     return statement_id, packets
 
 
-class BackendStatementError(FailedError):
-    """A backend server answered a statement with an error packet."""
-
-    def __init__(self, packet: bytes) -> None:
-        """Keep the packet, to hand it on unchanged."""
-        parsed = parse_error_packet(packet)
-        super().__init__(parsed.message)
-        self.packet = packet
-        self.code = parsed.code
-        self.sqlstate = parsed.sqlstate
-
-
 def build_execute_command(prepared: PreparedText, data: bytes) -> ExecuteCommand:
     """Build the command for a backend server from a caller's packet.
 
--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -13,9 +13,9 @@
 from mysql_mimic.stream import ConnectionClosed
 from mysql_mimic.types import Capabilities, ColumnType, ServerStatus
 
+from pollencleat.backend.connection import BackendStatementError
 from pollencleat.callers.commands import (
     ID_BYTES,
-    BackendStatementError,
     Command,
     PreparedText,
     QueryCommand,
--- a/pollencleat/callers/executor.py
+++ b/pollencleat/callers/executor.py
@@ -8,11 +8,10 @@
 import asyncio
 import dataclasses
 
-import asyncmy.errors
-
 from pollencleat.backend import operations
+from pollencleat.backend.connection import BackendStatementError
 from pollencleat.backend.pool import Lease
-from pollencleat.callers.commands import BackendStatementError, Command
+from pollencleat.callers.commands import Command
 from pollencleat.callers.gateway import Gateway, unix_time_s
 from pollencleat.callers.relay import (
     Answer,
@@ -56,6 +55,8 @@
 NO_HISTORY_TOKEN = "none"
 READ_TRIES = 3
 JOURNAL_MISSING_CODE = 1146
+READ_ONLY_CODES = frozenset({1290, 1836})
+"""A server that is read-only refuses a write before it runs."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,8 +255,12 @@
                 done = await self._run_write(term, lease, command)
             reusable = True
             return done
-        except (BackendStatementError, RequestAlreadyDoneError):
+        except BackendStatementError as error:
             reusable = True
+            if error.code in READ_ONLY_CODES:
+                raise WritesUnavailableError(
+                    f"{term.primary} is read-only", 200
+                ) from error
             raise
         except (BackendLostError, TimeoutError) as error:
             raise UnknownOutcomeError(f"no answer from {term.primary}: {error}") from (
@@ -348,7 +353,7 @@
         try:
             async with asyncio.timeout(WRITE_ANSWER_LIMIT_S):
                 await lease.connection.run("COMMIT")
-        except asyncmy.errors.MySQLError as error:
+        except BackendStatementError as error:
             raise TransactionLostError(str(error)) from error
         await self._acknowledge(term, lease)
 
@@ -364,13 +369,12 @@
             async with asyncio.timeout(WRITE_ANSWER_LIMIT_S):
                 await connection.run(sql)
             return None
-        except asyncmy.errors.MySQLError as error:
-            code = error.args[0] if error.args else 0
-            if code == JOURNAL_MISSING_CODE:
+        except BackendStatementError as error:
+            if error.code == JOURNAL_MISSING_CODE:
                 await self._create_journal(lease)
                 return await self._claim(customer, lease, request_id)
-            if code not in requests.DUPLICATE_KEY_CODES:
-                raise BackendStatementError(_packet_of(error)) from error
+            if error.code not in requests.DUPLICATE_KEY_CODES:
+                raise
         rows = await connection.run(
             requests.select_sql(customer.customer_id, request_id)
         )
@@ -411,6 +415,13 @@
                 await lease.connection.run("BEGIN")
                 if hints.request_id:
                     await self._claim_for_transaction(customer, lease, hints)
+        except BackendStatementError as error:
+            lease.give_back(False)
+            if error.code in READ_ONLY_CODES:
+                raise WritesUnavailableError(
+                    f"{term.primary} is read-only", 200
+                ) from error
+            raise
         except (BackendLostError, TimeoutError) as error:
             lease.give_back(False)
             raise WritesUnavailableError(f"{term.primary}: {error}", 200) from error
@@ -444,7 +455,7 @@
         self.gateway.metrics.count("read_primary" if is_primary else "read_replica")
         try:
             await lease.connection.run("START TRANSACTION READ ONLY")
-        except BackendError as error:
+        except (BackendError, BackendStatementError) as error:
             lease.give_back(False)
             raise NoReplicaError(f"{server_id}: {error}", 200) from error
         except BaseException:
@@ -531,7 +542,7 @@
             await transaction.lease.connection.run(
                 requests.record_sql(customer_id, transaction.request_id, outcome)
             )
-        except (BackendLostError, asyncmy.errors.MySQLError) as error:
+        except (BackendLostError, BackendStatementError) as error:
             raise TransactionLostError(str(error)) from error
 
     async def rollback(self) -> Done:
@@ -547,7 +558,7 @@
         try:
             await transaction.lease.connection.run("ROLLBACK")
             reusable = True
-        except BackendError:
+        except (BackendError, BackendStatementError):
             # A closed connection rolls back just as well.
             self.gateway.metrics.count("rollback_by_close")
         finally:
@@ -569,11 +580,3 @@
         token = parse_token(text)
         session.note_seen(token.group_id, token.seen)
         session.floor_known.add(token.group_id)
-
-
-def _packet_of(error: asyncmy.errors.MySQLError) -> bytes:
-    """Return an error packet for an error that the driver has decoded."""
-    code = int(error.args[0]) if error.args else 1105
-    message = str(error.args[1]) if len(error.args) > 1 else str(error)
-    sqlstate = (error.sqlstate or "HY000").encode()
-    return b"\xff" + code.to_bytes(2, "little") + b"#" + sqlstate + message.encode()
--- a/pollencleat/journal/pruning.py
+++ b/pollencleat/journal/pruning.py
@@ -1,7 +1,6 @@
 """Removes recorded requests past their declared retention."""
 
-import asyncmy.errors
-
+from pollencleat.backend.connection import BackendStatementError
 from pollencleat.callers.gateway import Gateway, unix_time_s
 from pollencleat.core.data import Customer
 from pollencleat.core.errors import BackendError, CallerError
@@ -50,7 +49,7 @@
             await lease.connection.run(prune_sql(unix_time_s() - retention_s))
             reusable = True
             gateway.metrics.count("journal_pruned", group_id)
-        except asyncmy.errors.MySQLError:
+        except BackendStatementError:
             # The journal is created by the first request; until then it is missing.
             reusable = True
         except (BackendError, CallerError):
