Let members that are no relay change the fleet; make control cheap at size

Change: hearing of a read counts; order and digests of members are derived once for each fleet state; promises of whole failure domains are collected at most ten times a second; messages are arrays, not maps; the promise ground is only looked at when the platform ground does not hold.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -305,7 +305,8 @@
         number += 1
         board = make_board(members, max(groups, 1), node=number)
     clock = [NOW_S]
-    node = Node(board, TimerService(lambda: clock[0]))
+    timers = TimerService(lambda: clock[0])
+    node = Node(board, timers)
     node.promotion.started_at_s = NOW_S - 100
     peers = [
         member
@@ -336,7 +337,7 @@
         if step % int(BEAT_S / 0.05) == 0:
             incoming = [make_beat_from(peer, board, now_s, False) for peer in senders]
         started_s = time.process_time()
-        node.timers.run_due()
+        timers.run_due()
         for beat in incoming:
             node.handle(beat)
         outgoing, board.outbox = board.outbox, []
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -23,7 +23,7 @@
 )
 from pollencleat.limits.retries import RetryBudget
 from pollencleat.limits.shares import connections_allowed
-from pollencleat.membership.permits import permit_ends_at, writable_term
+from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.accounting import PrimaryReadAccount
 from pollencleat.routing.freshness import (
@@ -297,7 +297,7 @@
         Returns:
             True while a write permit is valid.
         """
-        return self.clock() < permit_ends_at(self.board)
+        return holds_write_permit(self.board, self.clock())
 
     async def borrow(
         self, server_id: str, customer: Customer, term: int, deadline_s: float
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -18,6 +18,7 @@
     VmList,
 )
 from pollencleat.core.effects import Effect
+from pollencleat.core.index import FleetIndex, make_fleet_index
 from pollencleat.core.messages import Envelope, PeerMessage, Versions
 
 PRIMARY_SAMPLES_KEPT = 256
@@ -154,6 +155,11 @@
     removed_seen_at_s: dict[str, float] = field(default_factory=dict)
     member_seen_at_s: dict[str, float] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Begin without an index."""
+        self._indexed_fleet: Fleet | None = None
+        self._index = make_fleet_index(self.fleet)
+
     def send(self, to_node: str, message: PeerMessage) -> None:
         """Queue a message to a peer.
 
@@ -171,6 +177,17 @@
         """
         return Versions(self.fleet.version, self.inventory.version, self.vms.version)
 
+    def index(self) -> FleetIndex:
+        """Return what is derived from the known fleet, computed once for each state.
+
+        Returns:
+            Order and digests of the members.
+        """
+        if self._indexed_fleet is not self.fleet:
+            self._index = make_fleet_index(self.fleet)
+            self._indexed_fleet = self.fleet
+        return self._index
+
     def is_member(self) -> bool:
         """Return whether this run of the process is registered.
 
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -12,7 +12,7 @@
 from pollencleat.core.data import Fleet, Inventory, VmList
 
 
-class Versions(msgspec.Struct, frozen=True):
+class Versions(msgspec.Struct, frozen=True, array_like=True):
     """The newest platform objects that a node knows."""
 
     fleet: int
@@ -20,7 +20,7 @@
     vms: int
 
 
-class DomainPromise(msgspec.Struct, frozen=True):
+class DomainPromise(msgspec.Struct, frozen=True, array_like=True):
     """All members of a failure domain promised to make no server a primary.
 
     Attributes:
@@ -33,7 +33,7 @@
     age_s: float
 
 
-class Beat(msgspec.Struct, frozen=True, tag="beat"):
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
     """A heartbeat.
 
     Attributes:
@@ -59,14 +59,14 @@
     reply: bool
 
 
-class StateRequest(msgspec.Struct, frozen=True, tag="state_request"):
+class StateRequest(msgspec.Struct, frozen=True, array_like=True, tag="state_request"):
     """Asks for everything newer than the given versions."""
 
     node_id: str
     versions: Versions
 
 
-class State(msgspec.Struct, frozen=True, tag="state"):
+class State(msgspec.Struct, frozen=True, array_like=True, tag="state"):
     """Newer platform objects; None where the receiver is up to date."""
 
     node_id: str
@@ -75,7 +75,7 @@
     vms: VmList | None
 
 
-class StopWrites(msgspec.Struct, frozen=True, tag="stop_writes"):
+class StopWrites(msgspec.Struct, frozen=True, array_like=True, tag="stop_writes"):
     """Asks a member to adopt the fleet state of a promotion."""
 
     node_id: str
@@ -83,7 +83,7 @@
     fleet: Fleet
 
 
-class WritesStopped(msgspec.Struct, frozen=True, tag="writes_stopped"):
+class WritesStopped(msgspec.Struct, frozen=True, array_like=True, tag="writes_stopped"):
     """The sender adopted the promotion and writes under no older term."""
 
     node_id: str
@@ -91,14 +91,16 @@
     attempt_id: str
 
 
-class SightingRequest(msgspec.Struct, frozen=True, tag="sighting_request"):
+class SightingRequest(
+    msgspec.Struct, frozen=True, array_like=True, tag="sighting_request"
+):
     """Asks when the receiver last had an answer from a server."""
 
     node_id: str
     server_id: str
 
 
-class Sighting(msgspec.Struct, frozen=True, tag="sighting"):
+class Sighting(msgspec.Struct, frozen=True, array_like=True, tag="sighting"):
     """When the sender last had an answer from a server; None if never."""
 
     node_id: str
--- a/pollencleat/journal/pruning.py
+++ b/pollencleat/journal/pruning.py
@@ -4,8 +4,8 @@
 from pollencleat.callers.gateway import Gateway, unix_time_s
 from pollencleat.core.data import Customer
 from pollencleat.core.errors import BackendError, CallerError
+from pollencleat.core.index import rank_members
 from pollencleat.journal.requests import prune_sql
-from pollencleat.membership.fleet import rank_members
 
 PRUNE_EVERY_S = 60.0
 PRUNING_CUSTOMER = Customer("pollencleat", (), 1)
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -23,9 +23,11 @@
     StopWrites,
     WritesStopped,
 )
-from pollencleat.membership.fleet import members_by_domain, members_key
 from pollencleat.membership.permits import domain_promised_at
 
+COLLECT_S = 0.1
+"""For how long collected promises of whole failure domains are passed on."""
+
 LIVE_RELAYS = 2
 """Members of a failure domain, known alive, that heartbeats are sent to."""
 
@@ -42,6 +44,9 @@
         """
         self.board = board
         self.seeds = seeds
+        self._collected: tuple[DomainPromise, ...] = ()
+        self._collected_at_s = -1e9
+        self._collected_for: tuple[int, bool] = (-1, False)
 
     def tick(self, now_s: float) -> None:
         """Send heartbeats, and read the platform if it is this node's turn.
@@ -177,9 +182,9 @@
             peer.promised_at_s = max(peer.promised_at_s, beat.echo_s)
         if beat.fresh_age_s is not None:
             self._confirm_fresh(beat.echo_s - beat.fresh_age_s)
-        members_by_id = members_by_domain(board.fleet)
+        keys_by_domain = board.index().keys_by_domain
         for promise in beat.domain_promises:
-            key = members_key(members_by_id.get(promise.failure_domain, ()))
+            key = keys_by_domain.get(promise.failure_domain)
             if promise.members_key != key:
                 continue
             promised_at_s = beat.echo_s - promise.age_s
@@ -206,10 +211,32 @@
             board.versions(),
             fresh_age_s if fresh_age_s < PERMIT_S else None,
             promising,
-            collect_domain_promises(board, now_s, promising),
+            self._domain_promises(now_s, promising),
             reply,
         )
 
+    def _domain_promises(
+        self, now_s: float, promising: bool
+    ) -> tuple[DomainPromise, ...]:
+        """Return promises of whole failure domains, collected a short time ago.
+
+        Ages grow with the time since; what was collected stays true for its members.
+        """
+        board = self.board
+        is_old = now_s - self._collected_at_s >= COLLECT_S
+        key = (board.fleet.version, promising)
+        if is_old or key != self._collected_for:
+            self._collected = collect_domain_promises(board, now_s, promising)
+            self._collected_at_s = now_s
+            self._collected_for = key
+        waited_s = now_s - self._collected_at_s
+        if not waited_s:
+            return self._collected
+        return tuple(
+            DomainPromise(item.failure_domain, item.members_key, item.age_s + waited_s)
+            for item in self._collected
+        )
+
 
 def collect_domain_promises(
     board: Blackboard, now_s: float, promising: bool
@@ -225,14 +252,15 @@
         An entry for each failure domain all of whose members promised recently.
     """
     promises = []
-    for domain, members in members_by_domain(board.fleet).items():
+    index = board.index()
+    for domain, members in index.members_by_domain.items():
         if domain == board.failure_domain and not promising:
             continue
         promised_at_s = min(now_s, domain_promised_at(board, domain, members))
         age_s = now_s - promised_at_s
         if age_s >= PROMISE_S:
             continue
-        promises.append(DomainPromise(domain, members_key(members), age_s))
+        promises.append(DomainPromise(domain, index.keys_by_domain[domain], age_s))
     return tuple(promises)
 
 
@@ -264,7 +292,7 @@
     Returns:
         The first member in relay order that was heard of, or None.
     """
-    for member in members_by_domain(board.fleet).get(domain, ()):
+    for member in board.index().members_by_domain.get(domain, ()):
         if is_heard(board, member, now_s):
             return member
     return None
@@ -297,7 +325,7 @@
     """
     is_relay = acts_as_relay(board, now_s)
     targets = []
-    for domain, members in members_by_domain(board.fleet).items():
+    for domain, members in board.index().members_by_domain.items():
         if domain != board.failure_domain and not is_relay:
             continue
         targets.extend(_take_until_live(board, members, now_s))
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -4,11 +4,8 @@
 when the conditional update succeeds.
 """
 
-import functools
 from dataclasses import replace
 
-import xxhash
-
 from pollencleat.core.data import (
     AuditEntry,
     Fleet,
@@ -191,57 +188,3 @@
         The state with the entry; the oldest is dropped beyond the limit.
     """
     return replace(fleet, audit=(*fleet.audit, entry)[-AUDIT_KEPT:])
-
-
-def rank_members(key: str, members: list[Member]) -> list[Member]:
-    """Order members by rendezvous hash.
-
-    Args:
-        key: What a member is chosen for.
-        members: Candidates.
-
-    Returns:
-        The candidates, the first choice first.
-    """
-    return sorted(
-        members,
-        key=lambda member: xxhash.xxh64_intdigest(f"{key}\0{member.node_id}".encode()),
-        reverse=True,
-    )
-
-
-@functools.lru_cache(maxsize=8)
-def _index_domains(members: tuple[Member, ...]) -> dict[str, tuple[Member, ...]]:
-    by_domain: dict[str, list[Member]] = {}
-    for member in members:
-        by_domain.setdefault(member.failure_domain, []).append(member)
-    return {
-        domain: tuple(rank_members(domain, listed))
-        for domain, listed in by_domain.items()
-    }
-
-
-def members_by_domain(fleet: Fleet) -> dict[str, tuple[Member, ...]]:
-    """Return the members of each failure domain in relay order.
-
-    Args:
-        fleet: A fleet state.
-
-    Returns:
-        Failure domain to members, first choice of relay first.
-    """
-    return _index_domains(tuple(fleet.members_by_id.values()))
-
-
-@functools.lru_cache(maxsize=256)
-def members_key(members: tuple[Member, ...]) -> int:
-    """Return a digest that is equal only for equal sets of incarnations.
-
-    Args:
-        members: Members of one failure domain.
-
-    Returns:
-        A 64-bit digest.
-    """
-    names = sorted(f"{member.node_id}\0{member.incarnation}" for member in members)
-    return xxhash.xxh64_intdigest("\n".join(names).encode())
--- a/pollencleat/membership/permits.py
+++ b/pollencleat/membership/permits.py
@@ -11,7 +11,6 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import CLOCK_DRIFT, PERMIT_S, PROMISE_S
 from pollencleat.core.data import GroupTerm, Member
-from pollencleat.membership.fleet import members_by_domain, members_key
 
 NEVER_S = -1e9
 """A local time before every event."""
@@ -39,6 +38,23 @@
     return max(platform_permit_ends_at(board), promise_permit_ends_at(board))
 
 
+def holds_write_permit(board: Blackboard, now_s: float) -> bool:
+    """Return whether this node may write to groups whose primary it knows.
+
+    Args:
+        board: The node's state.
+        now_s: Local time.
+
+    Returns:
+        True while either ground holds; promises are only looked at without the first.
+    """
+    if not board.is_member():
+        return False
+    if now_s < platform_permit_ends_at(board):
+        return True
+    return now_s < promise_permit_ends_at(board)
+
+
 def platform_permit_ends_at(board: Blackboard) -> float:
     """Return until when the newest platform read permits writes.
 
@@ -62,7 +78,7 @@
     """
     outage_ends_at = board.fresh_at_s + board.outage_limit_s * (1 - CLOCK_DRIFT)
     ends_at = outage_ends_at
-    for domain, members in members_by_domain(board.fleet).items():
+    for domain, members in board.index().members_by_domain.items():
         promised_at = domain_promised_at(board, domain, members)
         ends_at = min(ends_at, promised_at + PROMISE_S * (1 - CLOCK_DRIFT))
     return ends_at
@@ -87,7 +103,7 @@
             continue
         told_by_members = min(told_by_members, member_promised_at(board, member))
     view = board.domains_by_id.get(domain)
-    if view is None or view.members_key != members_key(members):
+    if view is None or view.members_key != board.index().keys_by_domain[domain]:
         return told_by_members
     return max(told_by_members, view.promised_at_s)
 
@@ -141,6 +157,6 @@
     term = board.group_term(group_id)
     if term is None or not term.primary:
         return None
-    if now_s >= permit_ends_at(board):
+    if not holds_write_permit(board, now_s):
         return None
     return term
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -16,10 +16,10 @@
 )
 from pollencleat.core.data import Fleet, Member, RemovedMember
 from pollencleat.core.effects import FleetUpdated, UpdateFleet
+from pollencleat.core.index import rank_members
 from pollencleat.membership.beats import find_relay
 from pollencleat.membership.fleet import (
     NO_SEAT,
-    rank_members,
     with_free_seats_taken,
     with_member,
     with_voucher,
@@ -55,7 +55,9 @@
             now_s: Local time.
         """
         board = self.board
-        if self._pending or now_s - board.read_answered_at_s > READ_IS_RECENT_S:
+        # Only relays read the platform; the others hear of its reads.
+        platform_seen_at_s = max(board.read_answered_at_s, board.fresh_at_s)
+        if self._pending or now_s - platform_seen_at_s > READ_IS_RECENT_S:
             return
         if now_s - self._tried_at_s < RETRY_S * (1 + board.random.random()):
             return
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -70,3 +70,20 @@
     fleet = with_member(Fleet(), make_member("a", "1"), 1)
     fleet = with_member(fleet, make_member("b", "2"), 1)
     assert fleet.members_by_id["b"].seat == NO_SEAT
+
+
+def test_member_that_only_hears_of_platform_reads_vouches_and_resigns():
+    """Regression: a member that was no relay never changed the fleet, so that nobody
+    was vouched for, and a drained node never resigned."""
+    fleet = with_member(Fleet(), make_member("n", "n-1"), 5)
+    fleet = with_member(fleet, make_member("b", "b-1"), 5)
+    board = make_board()
+    board.adopt_fleet(replace(fleet, version=1), 10.0)
+    board.fresh_at_s = 20.0
+    controller = RegistrationController(board)
+    controller.tick(20.5)
+    assert board.effects.pop().fleet.members_by_id["b"].may_promote
+    board.resigning = True
+    controller = RegistrationController(board)
+    controller.tick(20.5)
+    assert "n" not in board.effects.pop().fleet.members_by_id
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -22,6 +22,7 @@
     ServerStatusRead,
     UpdateFleet,
 )
+from pollencleat.core.index import rank_members
 from pollencleat.core.messages import (
     Sighting,
     SightingRequest,
@@ -30,7 +31,6 @@
     WritesStopped,
 )
 from pollencleat.membership.fleet import (
-    rank_members,
     with_audit_entry,
     with_primary_published,
     with_promotion_started,
--- a/pollencleat/promotion/steward.py
+++ b/pollencleat/promotion/steward.py
@@ -7,8 +7,8 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import GroupTerm
 from pollencleat.core.effects import FollowPrimary
-from pollencleat.membership.fleet import rank_members
-from pollencleat.membership.permits import permit_ends_at
+from pollencleat.core.index import rank_members
+from pollencleat.membership.permits import holds_write_permit
 
 REPEAT_S = 1.0
 """Time between two orders to the same server."""
@@ -29,7 +29,7 @@
             now_s: Local time.
         """
         board = self.board
-        if now_s >= permit_ends_at(board):
+        if not holds_write_permit(board, now_s):
             return
         for group_id, group in board.inventory.groups_by_id.items():
             term = board.group_term(group_id)
--- a/pollencleat/reports/status.py
+++ b/pollencleat/reports/status.py
@@ -5,7 +5,6 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import GroupTerm
 from pollencleat.membership.beats import find_relay
-from pollencleat.membership.fleet import members_by_domain
 from pollencleat.membership.permits import permit_basis, permit_ends_at
 from pollencleat.routing.reads import ReadRequest, can_serve
 
@@ -88,7 +87,7 @@
         The report.
     """
     relays = {}
-    for domain in members_by_domain(board.fleet):
+    for domain in board.index().members_by_domain:
         relay = find_relay(board, domain, now_s)
         relays[domain] = relay.node_id if relay else ""
     return NodeReport(
--- a/pollencleat/routing/freshness.py
+++ b/pollencleat/routing/freshness.py
@@ -8,7 +8,7 @@
 
 from pollencleat.core.blackboard import Blackboard, PrimarySamples
 from pollencleat.core.data import GroupTerm, ServerStatus
-from pollencleat.membership.permits import permit_ends_at
+from pollencleat.membership.permits import holds_write_permit
 
 
 def record_status(
@@ -44,7 +44,7 @@
         server.group_id, PrimarySamples()
     )
     if is_primary_status(term, server_id, status):
-        if now_s >= permit_ends_at(board):
+        if not holds_write_permit(board, now_s):
             return
         samples.add(term.term, sent_at_s, status.position)
         view.fresh_as_of_s = sent_at_s
