--- a/bench/whole_path_test.py
+++ b/bench/whole_path_test.py
@@ -390,3 +390,13 @@
             assert count <= share
     for server in deployment.servers.values():
         assert server.peak_connections <= deployment.connections
+
+
+async def test_schema_change_commits_the_transaction_before(deployment):
+    async with caller(deployment, autocommit=False) as connection:
+        await run(connection, "INSERT INTO t (v) VALUES ('before schema')")
+        await run(connection, "CREATE TABLE made (id INTEGER PRIMARY KEY)")
+        await connection.rollback()
+    async with caller(deployment) as connection:
+        assert await run(connection, "SELECT v FROM t WHERE v = 'before schema'")
+        assert not await run(connection, "SELECT id FROM made")
--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -22,12 +22,20 @@
     build_execute_command,
     prepare_on,
 )
-from pollencleat.callers.executor import Done, Executor
+from pollencleat.callers.context import Done, StatementContext, adopt_token
 from pollencleat.callers.gateway import Gateway
 from pollencleat.callers.identity import CallerIdentityProvider
+from pollencleat.callers.reads import make_read_request, run_read
 from pollencleat.callers.relay import EndMaker
 from pollencleat.callers.session import CallerSession
 from pollencleat.callers.stream import CallerStream
+from pollencleat.callers.transactions import (
+    begin_transaction,
+    commit_transaction,
+    roll_back_transaction,
+    run_in_transaction,
+)
+from pollencleat.callers.writes import run_single_write
 from pollencleat.core.constants import MAX_STATEMENT_BYTES
 from pollencleat.core.data import Customer
 from pollencleat.core.errors import (
@@ -38,7 +46,12 @@
     StatementTooLargeError,
     UnsupportedStatementError,
 )
-from pollencleat.routing.statements import Action, Hints, judge_statement
+from pollencleat.routing.statements import (
+    SCHEMA_WORDS,
+    Action,
+    Hints,
+    judge_statement,
+)
 from pollencleat.routing.tokens import Token, format_token
 
 HANDSHAKE_LIMIT_S = 10.0
@@ -85,7 +98,7 @@
             stream, session, control, identity_provider, SERVER_CAPABILITIES, ssl
         )
         self.gateway = gateway
-        self.executor = Executor(gateway, session, stream, self)
+        self.context = StatementContext(gateway, session, stream, self)
         self.prepared_by_id: dict[int, PreparedText] = {}
         self.in_flight = False
         # Callers compare the greeting's flag with the mode that they want.
@@ -100,7 +113,7 @@
         charset = str(self.session.variables.get("character_set_client"))
         if charset not in _UTF8_CHARSETS:
             raise UnsupportedStatementError(f"character set {charset}; use utf8mb4")
-        self.executor.caller_deprecates_eof = self.deprecate_eof()
+        self.context.caller_deprecates_eof = self.deprecate_eof()
 
     async def authenticate(self, **options: object) -> None:
         """Authenticate, and end the connection unless that succeeded.
@@ -235,7 +248,7 @@
     async def _run_statement(self, text: str, command: Command) -> None:
         statement = judge_statement(text)
         if statement.hints.token:
-            self.executor.adopt_token(statement.hints.token)
+            adopt_token(self.context, statement.hints.token)
         runner = _runners_by_action[statement.action]
         started_at_s = self.gateway.clock()
         done = await runner(self, statement.hints, text, command, statement.reason)
@@ -249,18 +262,21 @@
     ) -> Done | None:
         customer = self._customer()
         if await self._enter_transaction(customer, hints):
-            return await self.executor.run_in_transaction(Action.READ, command)
+            return await run_in_transaction(self.context, Action.READ, command)
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        return await self.executor.read(customer, group, command, hints)
+        return await run_read(self.context, customer, group, command, hints)
 
     async def _run_write(
         self, hints: Hints, text: str, command: Command, reason: str
     ) -> Done | None:
         customer = self._customer()
-        if await self._enter_transaction(customer, hints):
-            return await self.executor.run_in_transaction(Action.WRITE, command)
+        if judge_statement(text).word in SCHEMA_WORDS:
+            # The server commits before such a statement, and so does this session.
+            await commit_transaction(self.context)
+        elif await self._enter_transaction(customer, hints):
+            return await run_in_transaction(self.context, Action.WRITE, command)
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        return await self.executor.write(customer, group, command, hints)
+        return await run_single_write(self.context, customer, group, command, hints)
 
     async def _enter_transaction(self, customer: Customer, hints: Hints) -> bool:
         if self.session.transaction is not None:
@@ -268,7 +284,7 @@
         if self.session.autocommit:
             return False
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        await self.executor.begin(customer, group, hints, read_only=False)
+        await begin_transaction(self.context, customer, group, hints, read_only=False)
         return True
 
     async def _run_begin(
@@ -276,24 +292,28 @@
     ) -> Done:
         customer = self._customer()
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        return await self.executor.begin(customer, group, hints, read_only=False)
+        return await begin_transaction(
+            self.context, customer, group, hints, read_only=False
+        )
 
     async def _run_begin_read_only(
         self, hints: Hints, text: str, command: Command, reason: str
     ) -> Done:
         customer = self._customer()
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        return await self.executor.begin(customer, group, hints, read_only=True)
+        return await begin_transaction(
+            self.context, customer, group, hints, read_only=True
+        )
 
     async def _run_commit(
         self, hints: Hints, text: str, command: Command, reason: str
     ) -> Done:
-        return await self.executor.commit()
+        return await commit_transaction(self.context)
 
     async def _run_rollback(
         self, hints: Hints, text: str, command: Command, reason: str
     ) -> Done:
-        return await self.executor.rollback()
+        return await roll_back_transaction(self.context)
 
     async def _run_set(
         self, hints: Hints, text: str, command: Command, reason: str
@@ -301,13 +321,13 @@
         text = text.strip()
         match = _SET_TOKEN.match(text)
         if match:
-            self.executor.adopt_token(match[1])
+            adopt_token(self.context, match[1])
             return Done()
         match = _SET_AUTOCOMMIT.match(text)
         if match:
             autocommit = match[1].upper() in ("1", "ON", "TRUE")
             if autocommit and self.session.transaction is not None:
-                await self.executor.commit()
+                await commit_transaction(self.context)
             self.session.autocommit = autocommit
             return Done()
         if _SET_NAMES.match(text):
@@ -410,7 +430,7 @@
             return answer, connection.deprecates_eof
         customer = self._customer()
         group = self.gateway.group_of(customer.customer_id, self.session.database)
-        request = await self.executor.make_read_request(group, hints)
+        request = await make_read_request(self.context, group, hints)
         server_id = await self.gateway.choose_server(request)
         term = self.gateway.board.group_term(group.group_id)
         lease = await self.gateway.borrow(
@@ -502,7 +522,7 @@
         Args:
             data: Empty.
         """
-        await self.executor.rollback()
+        await roll_back_transaction(self.context)
         self.session.autocommit = True
         self.session.last_insert_id = 0
         self.prepared_by_id.clear()
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -20,14 +20,6 @@
     ALREADY_DONE = "already done"
 
 
-class RequestKind(enum.StrEnum):
-    """How a statement may be repeated."""
-
-    READ = "read"
-    IDEMPOTENT_WRITE = "idempotent-write"
-    NON_IDEMPOTENT_WRITE = "non-idempotent-write"
-
-
 @dataclass(frozen=True, slots=True)
 class BackendServer:
     """A declared database server.
--- a/pollencleat/routing/statements.py
+++ b/pollencleat/routing/statements.py
@@ -13,6 +13,8 @@
 from pollencleat.core.errors import InvalidHintError
 
 HINT_CACHE_SIZE = 4096
+SCHEMA_WORDS = frozenset({"CREATE", "ALTER", "DROP", "TRUNCATE", "RENAME"})
+"""First words of statements before which a server commits an open transaction."""
 
 
 class Action(enum.StrEnum):
@@ -38,13 +40,12 @@
         kind: Declared kind of read.
         max_age_ms: Age limit for this read; tightens the kind's own.
         request_id: Identity of a request that must run at most once.
-        idempotent: The caller declares that the write may run twice.
+        token: What the session has seen.
     """
 
     kind: str = ""
     max_age_ms: int | None = None
     request_id: str = ""
-    idempotent: bool = False
     token: str = ""
 
 
@@ -206,7 +207,7 @@
 
 
 def _hints_from_values(values: dict[str, str]) -> Hints:
-    known = {"kind", "max_age_ms", "request_id", "idempotent", "token"}
+    known = {"kind", "max_age_ms", "request_id", "token"}
     for key in values:
         if key not in known:
             raise InvalidHintError(f"unknown hint {key!r}")
@@ -217,13 +218,10 @@
         max_age_ms = int(values["max_age_ms"])
     if len(values.get("request_id", "")) > 64:
         raise InvalidHintError("request_id is longer than 64 characters")
-    if values.get("idempotent", "yes") != "yes":
-        raise InvalidHintError("idempotent takes only the value yes")
     return Hints(
         values.get("kind", ""),
         max_age_ms,
         values.get("request_id", ""),
-        "idempotent" in values,
         values.get("token", ""),
     )
 
