--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -46,7 +46,7 @@
     original = beats._count_beat
 
     def count(beat, peer):
-            now_s = node.timers.clock()
+        now_s = node.timers.clock()
         original(msgspec.structs.replace(beat, echo_s=now_s), peer)
 
     beats._count_beat = count
