--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -23,6 +23,9 @@
 
 OPEN_TIMEOUT_S = 2.0
 MIN_RETRY_AFTER_MS = 20
+ANY_TERM = 0
+"""Term for reads: what they may see is judged by position and age, not by term."""
+
 WARM_UP_CUSTOMER = ""
 
 
@@ -98,7 +101,8 @@
             customer_id: Who pays for the turn.
             queue_limit: Statements that the customer may have waiting.
             deadline_s: Local time after which the statement is refused.
-            term: Connections of an older term are closed instead of lent.
+            term: Connections of an older term are closed instead of lent; 0 lends any,
+                which is enough for reads.
 
         Returns:
             A lease that must be given back.
@@ -110,13 +114,14 @@
         ticket = Ticket(customer_id, deadline_s)
         await self._take_turn(ticket, queue_limit)
         try:
-            connection = self._pop_idle(term)
-            if connection is None:
-                connection = await self._open()
+            entry = self._pop_idle(term)
+            if entry is None:
+                entry = (await self._open(), term)
         except BaseException:
             self._wake(self.queue.release(ticket, self._clock()))
             raise
-        lease = Lease(connection, ticket, term, self)
+        connection, opened_for_term = entry
+        lease = Lease(connection, ticket, opened_for_term, self)
         self._leases.add(lease)
         return lease
 
@@ -155,11 +160,11 @@
             if not ticket.settle.done():
                 ticket.settle.set_result(None)
 
-    def _pop_idle(self, term: int) -> BackendConnection | None:
+    def _pop_idle(self, term: int) -> tuple[BackendConnection, int] | None:
         while self._idle:
             connection, opened_for_term = self._idle.pop()
             if opened_for_term >= term and not is_broken(connection):
-                return connection
+                return connection, opened_for_term
             self._close(connection)
         return None
 
@@ -210,7 +215,9 @@
             count: Idle connections wanted.
             term: Term that they belong to.
         """
-        while len(self._idle) < count and self.open_count < self.queue.capacity:
+        while self._count_idle(term) < count:
+            if not self._make_room(term):
+                return
             ticket = Ticket(WARM_UP_CUSTOMER, self._clock())
             if self.queue.offer(ticket, 0, self._clock()) is not None:
                 return
@@ -225,6 +232,20 @@
             finally:
                 self._wake(self.queue.release(ticket, self._clock()))
 
+    def _count_idle(self, term: int) -> int:
+        return sum(opened_for_term >= term for _, opened_for_term in self._idle)
+
+    def _make_room(self, term: int) -> bool:
+        """Close an idle connection of an older term if the share is used up."""
+        if self.open_count < self.queue.capacity:
+            return True
+        for entry in self._idle:
+            if entry[1] < term:
+                self._idle.remove(entry)
+                self._close(entry[0])
+                return True
+        return False
+
     def end_older_terms(self, term: int) -> None:
         """Close every connection of an older term, also those in use.
 
--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -14,6 +14,7 @@
 from mysql_mimic.types import Capabilities, ColumnType, ServerStatus
 
 from pollencleat.backend.connection import BackendStatementError
+from pollencleat.backend.pool import ANY_TERM
 from pollencleat.callers.commands import (
     ID_BYTES,
     Command,
@@ -432,9 +433,8 @@
         group = self.gateway.group_of(customer.customer_id, self.session.database)
         request = await make_read_request(self.context, group, hints)
         server_id = await self.gateway.choose_server(request)
-        term = self.gateway.board.group_term(group.group_id)
         lease = await self.gateway.borrow(
-            server_id, customer, term.term, self.gateway.queue_deadline_s()
+            server_id, customer, ANY_TERM, self.gateway.queue_deadline_s()
         )
         reusable = False
         try:
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -90,7 +90,7 @@
         self._inventory_version = -1
         self._customer_by_user: dict[str, Customer] = {}
         self._group_by_database: dict[str, DatabaseGroup] = {}
-        self._terms_seen: dict[str, int] = {}
+        self._terms_seen: dict[str, GroupTerm] = {}
         self._used_at_s: dict[str, float] = {}
         self._sample_round = 0
         self._samples: dict[str, asyncio.Task] = {}
@@ -109,8 +109,9 @@
             if allowed != pool.allowed:
                 pool.allow(allowed)
         for group_id, term in self.board.fleet.terms_by_group.items():
-            if self._terms_seen.get(group_id) != term.term:
-                self._follow_term(term)
+            seen = self._terms_seen.get(group_id, GroupTerm(group_id, 0, ""))
+            if (seen.term, seen.primary) != (term.term, term.primary):
+                self._follow_term(seen, term)
 
     def _follow_inventory(self) -> None:
         inventory = self.board.inventory
@@ -141,20 +142,25 @@
                 server, self._credentials
             )
 
-    def _follow_term(self, term: GroupTerm) -> None:
-        if not term.primary:
-            return
-        self._terms_seen[term.group_id] = term.term
+    def _follow_term(self, seen: GroupTerm, term: GroupTerm) -> None:
+        """End the former primary's connections; warm up those of the next.
+
+        The next primary is not known while it is being chosen, so connections of the
+        new term are opened to every candidate.
+        """
         group = self.board.inventory.groups_by_id.get(term.group_id)
         if group is None:
             return
+        self._terms_seen[term.group_id] = term
+        former = term.promotion.old_primary if term.promotion else seen.primary
         for server_id in group.server_ids:
             pool = self.pools_by_server.get(server_id)
             if pool is None:
                 continue
-            if server_id != term.primary:
+            if server_id == former and server_id != term.primary:
                 pool.end_older_terms(term.term)
-            self.start(pool.warm_up(WARM_CONNECTIONS, term.term))
+            elif term.primary in ("", server_id):
+                self.start(pool.warm_up(WARM_CONNECTIONS, term.term))
 
     def start(self, coroutine) -> None:
         """Run a coroutine in the background and keep a reference to it.
--- a/pollencleat/callers/reads.py
+++ b/pollencleat/callers/reads.py
@@ -1,5 +1,6 @@
 """Reads outside of a transaction."""
 
+from pollencleat.backend.pool import ANY_TERM
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import Done, StatementContext, ask, hand_on
 from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, ReadRule
@@ -166,10 +167,13 @@
     """
     gateway = context.gateway
     term = gateway.board.group_term(group.group_id)
+    is_primary = server_id == term.primary
     lease = await gateway.borrow(
-        server_id, customer, term.term, gateway.queue_deadline_s()
+        server_id,
+        customer,
+        term.term if is_primary else ANY_TERM,
+        gateway.queue_deadline_s(),
     )
-    is_primary = server_id == term.primary
     gateway.metrics.count("read_primary" if is_primary else "read_replica")
     reusable = False
     try:
--- a/pollencleat/callers/transactions.py
+++ b/pollencleat/callers/transactions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from pollencleat.backend.connection import BackendStatementError
-from pollencleat.backend.pool import Lease
+from pollencleat.backend.pool import ANY_TERM, Lease
 from pollencleat.callers.acknowledgement import (
     borrow_primary,
     commit_on_server,
@@ -120,10 +120,13 @@
     request = await make_read_request(context, group, hints)
     server_id = await context.gateway.choose_server(request)
     term = context.gateway.board.group_term(group.group_id)
+    is_primary = server_id == term.primary
     lease = await context.gateway.borrow(
-        server_id, customer, term.term, context.gateway.queue_deadline_s()
+        server_id,
+        customer,
+        term.term if is_primary else ANY_TERM,
+        context.gateway.queue_deadline_s(),
     )
-    is_primary = server_id == term.primary
     context.gateway.metrics.count("read_primary" if is_primary else "read_replica")
     try:
         await lease.connection.run("START TRANSACTION READ ONLY")
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -180,7 +180,8 @@
         wait_s = self._rank(group_id) * RANK_DELAY_S
         if suspect.suspicion is Suspicion.LOST:
             self._ask_peers(term.primary, suspect, now_s)
-            wait_s += ASK_PEERS_S
+            if not self._have_all_answered(suspect):
+                wait_s += ASK_PEERS_S
             for sighting in suspect.sightings_by_node.values():
                 if is_seen_by_peer(sighting, now_s):
                     return False
@@ -188,6 +189,10 @@
             return False
         return now_s - suspect.since_s >= wait_s
 
+    def _have_all_answered(self, suspect: Suspect) -> bool:
+        others = set(self.board.fleet.members_by_id) - {self.board.node_id}
+        return others <= set(suspect.sightings_by_node)
+
     def _has_candidate(
         self, group_id: str, term: GroupTerm | None, now_s: float
     ) -> bool:
--- a/pollencleat/tools/tables.py
+++ b/pollencleat/tools/tables.py
@@ -23,3 +23,28 @@
         cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
         lines.append("  ".join(cells).rstrip())
     return "\n".join(lines)
+
+
+def render_audit(entries: list[dict]) -> str:
+    """Return audit entries as a table.
+
+    Args:
+        entries: As the API returns them.
+
+    Returns:
+        Lines of text.
+    """
+    headers = ("AT", "AUTHOR", "SUBJECT", "BEFORE", "AFTER", "CAUSE", "CHANGE")
+    rows = [
+        (
+            entry["at_s"],
+            entry["author"],
+            entry["subject"],
+            entry["before"],
+            entry["after"],
+            entry["cause"],
+            entry["change_id"],
+        )
+        for entry in entries
+    ]
+    return render_table(headers, rows)
