Leave slow reads at live servers alone

Cause: a read whose answer did not begin within 2 s was given up and sent to another server, three times: a slow report always failed, and under load the proxy multiplied the work that made it slow. Change: a read is taken from a server only when that server has answered no sample for 1.2 s; answers may take 300 s to begin.

--- a/bench/failures_test.py
+++ b/bench/failures_test.py
@@ -212,3 +212,31 @@
     assert count_rows(deployment, primary_of(deployment), "load") == done
     for item in connections:
         item.close()
+
+
+async def test_slow_read_at_a_live_server_is_left_alone(deployment):
+    """Regression: a read that took more than 2 s was sent three times and failed."""
+    for server in deployment.servers.values():
+        server.service_s = 2.6
+    connection = await deployment.connect()
+    assert await run(connection, "SELECT 7") == [(7,)]
+    counts = deployment.nodes["n0"].metrics.counts
+    assert counts[("read_retried", "g")] == 0
+    connection.close()
+
+
+async def test_read_at_a_server_that_fell_silent_is_asked_elsewhere(deployment):
+    primary = primary_of(deployment)
+    connection = await deployment.connect()
+    await run(connection, "SELECT 1")
+    for name, server in deployment.servers.items():
+        if name != primary:
+            server.service_s = 0.5
+    reading = asyncio.create_task(run(connection, "SELECT 8"))
+    await asyncio.sleep(0.2)
+    for name, server in deployment.servers.items():
+        if name != primary:
+            server.cut_users = frozenset({"n0"})
+    assert await reading == [(8,)]
+    assert deployment.nodes["n0"].metrics.counts[("read_retried", "g")] >= 1
+    connection.close()
--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -43,12 +43,14 @@
 
     Attributes:
         opened_for_term: Term that the connection belongs to.
+        is_read: The statement may be asked again elsewhere.
     """
 
     connection: BackendConnection
     ticket: Ticket
     opened_for_term: int
     pool: "ServerPool"
+    is_read: bool = False
 
     def give_back(self, reusable: bool) -> None:
         """Return the connection, or close it.
@@ -274,6 +276,12 @@
         for opening in self._openings:
             opening.cancel()
 
+    def end_reads(self) -> None:
+        """Close the connections of reads in use, which are then asked elsewhere."""
+        for lease in self._leases:
+            if lease.is_read:
+                lease.connection.close()
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/pollencleat/callers/acknowledgement.py
+++ b/pollencleat/callers/acknowledgement.py
@@ -5,7 +5,7 @@
 from pollencleat.backend import operations
 from pollencleat.backend.connection import BackendStatementError
 from pollencleat.backend.pool import Lease
-from pollencleat.callers.context import WRITE_ANSWER_LIMIT_S, StatementContext
+from pollencleat.callers.context import ANSWER_LIMIT_S, StatementContext
 from pollencleat.core.data import Customer, GroupTerm, Position
 from pollencleat.core.errors import (
     SessionHistoryLostError,
@@ -101,7 +101,7 @@
     if not context.gateway.is_still_writable(term):
         raise TransactionLostError(f"the write permit of term {term.term} lapsed")
     try:
-        async with asyncio.timeout(WRITE_ANSWER_LIMIT_S):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
             await lease.connection.run("COMMIT")
     except BackendStatementError as error:
         raise TransactionLostError(str(error)) from error
--- a/pollencleat/callers/claims.py
+++ b/pollencleat/callers/claims.py
@@ -7,7 +7,7 @@
 from pollencleat.callers.acknowledgement import acknowledge, commit_on_server
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import (
-    WRITE_ANSWER_LIMIT_S,
+    ANSWER_LIMIT_S,
     Done,
     StatementContext,
     ask,
@@ -54,7 +54,7 @@
         await acknowledge(context, term, lease)
         context.gateway.metrics.count("request_repeated", customer.customer_id)
         return Done(recorded.affected_rows, recorded.last_insert_id)
-    answer = await ask(lease, command, WRITE_ANSWER_LIMIT_S)
+    answer = await ask(lease, command, ANSWER_LIMIT_S)
     if answer.is_error:
         await connection.run("ROLLBACK")
         raise BackendStatementError(answer.first)
@@ -92,7 +92,7 @@
     connection = lease.connection
     sql = requests.insert_sql(customer.customer_id, request_id, unix_time_s())
     try:
-        async with asyncio.timeout(WRITE_ANSWER_LIMIT_S):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
             await connection.run(sql)
         return None
     except BackendStatementError as error:
--- a/pollencleat/callers/context.py
+++ b/pollencleat/callers/context.py
@@ -23,8 +23,8 @@
 from pollencleat.routing.tokens import parse_token
 
 NO_HISTORY_TOKEN = "none"
-WRITE_ANSWER_LIMIT_S = 30.0
-"""How long a server may take to begin the answer to a write."""
+ANSWER_LIMIT_S = 300.0
+"""How long a server that is alive may take to begin an answer."""
 
 READ_ONLY_CODES = frozenset({1290, 1836})
 """A server that is read-only refuses a write before it runs."""
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -40,6 +40,10 @@
 WRITES_RETRY_AFTER_MS = 200
 REPLICA_POLL_S = 0.004
 WARM_CONNECTIONS = 3
+SILENT_SERVER_S = 1.2
+"""A read is taken from a server that has answered no sample for this long; a slow read
+at a live server goes on."""
+
 IN_USE_S = 2.0
 """A group counts as used for this time after its newest statement."""
 
@@ -108,11 +112,21 @@
                 pool.close_idle()
             if allowed != pool.allowed:
                 pool.allow(allowed)
+            if self._fell_silent(server_id):
+                pool.end_reads()
+                pool.close_idle()
         for group_id, term in self.board.fleet.terms_by_group.items():
             seen = self._terms_seen.get(group_id, GroupTerm(group_id, 0, ""))
             if (seen.term, seen.primary) != (term.term, term.primary):
                 self._follow_term(seen, term)
 
+    def _fell_silent(self, server_id: str) -> bool:
+        """Return whether a server that used to answer samples does so no more."""
+        view = self.board.servers_by_id.get(server_id)
+        if view is None or view.status is None:
+            return False
+        return self.clock() - view.answered_at_s > SILENT_SERVER_S
+
     def _follow_inventory(self) -> None:
         inventory = self.board.inventory
         self._inventory_version = inventory.version
--- a/pollencleat/callers/reads.py
+++ b/pollencleat/callers/reads.py
@@ -2,7 +2,13 @@
 
 from pollencleat.backend.pool import ANY_TERM
 from pollencleat.callers.commands import Command
-from pollencleat.callers.context import Done, StatementContext, ask, hand_on
+from pollencleat.callers.context import (
+    ANSWER_LIMIT_S,
+    Done,
+    StatementContext,
+    ask,
+    hand_on,
+)
 from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, ReadRule
 from pollencleat.core.errors import (
     BackendLostError,
@@ -15,10 +21,6 @@
 from pollencleat.routing.statements import Hints
 from pollencleat.routing.tokens import floor_position
 
-READ_ANSWER_LIMIT_S = 2.0
-"""How long a server may take to begin the answer to a read before it is asked again
-elsewhere."""
-
 DEFAULT_KIND = "default"
 
 DEFAULT_MAX_AGE_MS = 10_000
@@ -175,9 +177,10 @@
         gateway.queue_deadline_s(),
     )
     gateway.metrics.count("read_primary" if is_primary else "read_replica")
+    lease.is_read = True
     reusable = False
     try:
-        answer = await ask(lease, command, READ_ANSWER_LIMIT_S)
+        answer = await ask(lease, command, ANSWER_LIMIT_S)
         if is_primary and not may_show_primary_read(context, term):
             raise BackendLostError("the primary may have been replaced")
         status = await hand_on(context, answer, lease)
--- a/pollencleat/callers/transactions.py
+++ b/pollencleat/callers/transactions.py
@@ -12,8 +12,8 @@
 from pollencleat.callers.claims import claim_request
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import (
+    ANSWER_LIMIT_S,
     READ_ONLY_CODES,
-    WRITE_ANSWER_LIMIT_S,
     Done,
     StatementContext,
     ask,
@@ -63,7 +63,7 @@
     require_known_history(context, term)
     lease = await borrow_primary(context, customer, term)
     try:
-        async with asyncio.timeout(WRITE_ANSWER_LIMIT_S):
+        async with asyncio.timeout(ANSWER_LIMIT_S):
             await lease.connection.run("BEGIN")
             if hints.request_id:
                 await claim_for_transaction(context, customer, lease, hints)
@@ -162,7 +162,7 @@
             raise TransactionLostError("the write permit lapsed")
         transaction.has_written = True
     try:
-        answer = await ask(transaction.lease, command, WRITE_ANSWER_LIMIT_S)
+        answer = await ask(transaction.lease, command, ANSWER_LIMIT_S)
         if answer.is_error:
             raise BackendStatementError(answer.first)
         if answer.is_result_set:
--- a/pollencleat/callers/writes.py
+++ b/pollencleat/callers/writes.py
@@ -10,8 +10,8 @@
 from pollencleat.callers.claims import run_once
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import (
+    ANSWER_LIMIT_S,
     READ_ONLY_CODES,
-    WRITE_ANSWER_LIMIT_S,
     Done,
     StatementContext,
     ask,
@@ -87,7 +87,7 @@
     Returns:
         The result, or None if a result set was handed on.
     """
-    answer = await ask(lease, command, WRITE_ANSWER_LIMIT_S)
+    answer = await ask(lease, command, ANSWER_LIMIT_S)
     if answer.is_error:
         raise BackendStatementError(answer.first)
     if answer.is_result_set:
