--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: setup demo test lint format measure slopes model
+.PHONY: setup demo test lint format measure slopes parts model
 
 setup: $(VENV)/.installed
 
@@ -30,5 +30,8 @@
 slopes: setup
 	$(PY) -m bench.slopes
 
+parts: setup
+	$(PY) -m bench.parts
+
 model: setup
 	$(PY) -m bench.model
--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -1,11 +1,13 @@
 """Throughput and latency through one entry VM against the same client straight."""
 
 import asyncio
+import json
 import statistics
 import time
 from dataclasses import asdict, dataclass
 
 import asyncmy
+import click
 
 from bench.cluster import (
     BACKEND_PASSWORD,
@@ -121,3 +123,16 @@
         "throughput_ratio": round(best_proxied / best_direct, 3),
         "daemon_cpu_us_per_statement": round(cpu_s / statements * 1e6, 1),
     }
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--count", type=int, default=6000)
+def main(port: int, count: int) -> None:
+    """Run the load against one entry VM and print its speed."""
+    speed = asyncio.run(measure_speed(port, CALLER_USER, CALLER_PASSWORD, count))
+    click.echo(json.dumps(asdict(speed)))
+
+
+if __name__ == "__main__":
+    main()
