Move sampling out of the callers' gateway

Cause: callers/gateway.py did three jobs. Change: backend/sampler.py asks servers and records their answers.

--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -11,11 +11,10 @@
 
 from pollencleat.backend.monitor import ServerMonitor
 from pollencleat.backend.pool import Credentials, Lease, ServerPool
+from pollencleat.backend.sampler import ServerSampler
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, Position
 from pollencleat.core.errors import (
-    BackendError,
-    BackendRefusedError,
     DrainingError,
     NoReplicaError,
     UnknownDatabaseError,
@@ -28,8 +27,6 @@
 from pollencleat.routing.accounting import PrimaryReadAccount
 from pollencleat.routing.freshness import (
     is_replica_status,
-    record_silence,
-    record_status,
 )
 from pollencleat.routing.reads import (
     ReadRequest,
@@ -44,10 +41,6 @@
 """A read is taken from a server that has answered no sample for this long; a slow read
 at a live server goes on."""
 
-IN_USE_S = 2.0
-"""A group counts as used for this time after its newest statement."""
-
-IDLE_SAMPLE_ROUNDS = 3
 log = structlog.get_logger()
 
 
@@ -89,15 +82,15 @@
         self.pools_by_server: dict[str, ServerPool] = {}
         self.monitors_by_server: dict[str, ServerMonitor] = {}
         self._account = PrimaryReadAccount(metrics.count)
+        self.sampler = ServerSampler(
+            board, self.monitors_by_server, self._account, clock
+        )
         self._loads = LoadByServer(self.pools_by_server)
         self._credentials = credentials
         self._inventory_version = -1
         self._customer_by_user: dict[str, Customer] = {}
         self._group_by_database: dict[str, DatabaseGroup] = {}
         self._terms_seen: dict[str, GroupTerm] = {}
-        self._used_at_s: dict[str, float] = {}
-        self._sample_round = 0
-        self._samples: dict[str, asyncio.Task] = {}
         self._background: set[asyncio.Task] = set()
 
     # Keeping up with the blackboard.
@@ -205,56 +198,6 @@
         for monitor in self.monitors_by_server.values():
             monitor.close()
 
-    # Sampling.
-
-    def sample(self, server_id: str) -> asyncio.Task:
-        """Ask a server for its status, or join a question under way.
-
-        Args:
-            server_id: A declared server.
-
-        Returns:
-            A task that ends when the blackboard was updated.
-        """
-        task = self._samples.get(server_id)
-        if task is None or task.done():
-            task = asyncio.get_running_loop().create_task(self._sample(server_id))
-            self._samples[server_id] = task
-        return task
-
-    async def _sample(self, server_id: str) -> None:
-        if connections_allowed(self.board, server_id) < 1:
-            return
-        monitor = self.monitors_by_server.get(server_id)
-        if monitor is None:
-            return
-        sent_at_s = self.clock()
-        try:
-            status = await monitor.read_status()
-        except BackendRefusedError:
-            record_silence(self.board, server_id, True, self.clock())
-        except BackendError:
-            record_silence(self.board, server_id, False, self.clock())
-        else:
-            record_status(self.board, server_id, status, sent_at_s, self.clock())
-            group_id = monitor.server.group_id
-            self._account.add_report(group_id, server_id, status.position, sent_at_s)
-
-    def sample_all(self) -> None:
-        """Start samples of all servers that are due.
-
-        Groups that nobody uses are sampled at every third call only.
-        """
-        self._sample_round += 1
-        is_idle_turn = self._sample_round % IDLE_SAMPLE_ROUNDS == 0
-        now_s = self.clock()
-        for group_id, group in self.board.inventory.groups_by_id.items():
-            used_at_s = self._used_at_s.get(group_id, -1e9)
-            if now_s - used_at_s > IN_USE_S and not is_idle_turn:
-                continue
-            for server_id in group.server_ids:
-                self.sample(server_id)
-
     # Decisions about statements.
 
     def customer_of(self, user: str) -> Customer | None:
@@ -286,7 +229,7 @@
         group = self._group_by_database.get(database or "")
         if group is None or customer_id not in group.customers:
             raise UnknownDatabaseError(f"unknown database {database!r}")
-        self._used_at_s[group.group_id] = self.clock()
+        self.sampler.note_use(group.group_id)
         return group
 
     def require_writable(self, group_id: str) -> GroupTerm:
@@ -383,7 +326,7 @@
             term = writable_term(self.board, group_id, self.clock())
             if term is None:
                 break
-            await self.sample(term.primary)
+            await self.sampler.sample(term.primary)
             samples = self.board.primary_samples_by_group.get(group_id)
             if samples is None or samples.term != term.term or not samples.sent_at_s:
                 continue
@@ -449,7 +392,7 @@
         group = self.board.inventory.groups_by_id[request.group_id]
         replicas = [name for name in group.server_ids if name != term.primary]
         while self.clock() < until_s:
-            tasks = [self.sample(name) for name in replicas]
+            tasks = [self.sampler.sample(name) for name in replicas]
             await asyncio.wait(
                 tasks, timeout=request.wait_s, return_when=asyncio.FIRST_COMPLETED
             )
--- a/pollencleat/callers/reads.py
+++ b/pollencleat/callers/reads.py
@@ -63,7 +63,7 @@
                     raise
                 raise NoReplicaError(f"the read broke off: {error}", 200) from error
             context.gateway.metrics.count("read_retried", group.group_id)
-            await context.gateway.sample(server_id)
+            await context.gateway.sampler.sample(server_id)
 
 
 async def make_read_request(
--- a/pollencleat/daemon/application.py
+++ b/pollencleat/daemon/application.py
@@ -116,7 +116,7 @@
 
     def _subscribe(self) -> None:
         self.timers.subscribe(FOLLOW_S, self._follow_board)
-        self.timers.subscribe(SAMPLE_S, self.gateway.sample_all)
+        self.timers.subscribe(SAMPLE_S, self.gateway.sampler.sample_all)
         self.timers.subscribe(CLOSE_UNUSED_S, self.transport.close_unused)
         self.timers.subscribe(1.0, self.pruner.tick)
 
