--- a/bench/failures_test.py
+++ b/bench/failures_test.py
@@ -6,7 +6,7 @@
 import pytest
 import pytest_asyncio
 
-from bench.inprocess import Deployment
+from bench.inprocess import Deployment, run
 
 pytestmark = pytest.mark.asyncio
 
@@ -22,12 +22,6 @@
     await created.stop()
 
 
-async def run(connection, sql):
-    cursor = connection.cursor()
-    await cursor.execute(sql)
-    return list(await cursor.fetchall() or ())
-
-
 def primary_of(deployment):
     return deployment.nodes["n0"].board.group_term("g").primary
 
--- a/bench/inprocess.py
+++ b/bench/inprocess.py
@@ -189,3 +189,18 @@
             for session in list(server.sessions):
                 session.connection.stream_writer.close()
         await self.runner.cleanup()
+
+
+async def run(connection: asyncmy.Connection, sql: str) -> list[tuple]:
+    """Run a statement.
+
+    Args:
+        connection: A driver connection.
+        sql: The statement.
+
+    Returns:
+        All rows.
+    """
+    cursor = connection.cursor()
+    await cursor.execute(sql)
+    return list(await cursor.fetchall() or ())
--- /dev/null
+++ b/bench/tls_test.py
@@ -0,0 +1,97 @@
+"""TLS for callers and for the administration API."""
+
+import asyncio
+import datetime
+import ssl
+import urllib.request
+from dataclasses import replace
+
+import pymysql
+import pytest
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
+
+from bench.inprocess import ADMIN_TOKEN, HOST, PASSWORD, Deployment
+from pollencleat.daemon.application import Application
+
+
+def make_certificate(folder):
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "localhost")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=1))
+        .add_extension(
+            x509.SubjectAlternativeName([x509.DNSName("localhost")]), critical=False
+        )
+        .sign(key, hashes.SHA256())
+    )
+    certificate_path = folder / "node.crt"
+    key_path = folder / "node.key"
+    certificate_path.write_bytes(certificate.public_bytes(serialization.Encoding.PEM))
+    key_path.write_bytes(
+        key.private_bytes(
+            serialization.Encoding.PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return str(certificate_path), str(key_path)
+
+
+@pytest.mark.asyncio
+async def test_callers_and_operators_are_served_over_tls(tmp_path):
+    certificate, key = make_certificate(tmp_path)
+    deployment = Deployment()
+    await deployment.start(1)
+    plain = deployment.nodes["n0"]
+    settings = replace(
+        plain.settings,
+        node_id="n1",
+        failure_domain="zone-1",
+        tls_certificate=certificate,
+        tls_key=key,
+    )
+    node = Application(settings)
+    await node.start()
+    deployment.nodes["n1"] = node
+    await deployment.wait_until_ready()
+    context = ssl.create_default_context(cafile=certificate)
+
+    def use_as_caller():
+        connection = pymysql.connect(
+            host=HOST,
+            port=node.callers_port,
+            user="advisor",
+            password=PASSWORD,
+            database="db",
+            ssl={"ca": certificate, "check_hostname": False},
+        )
+        with connection.cursor() as cursor:
+            cursor.execute("SELECT 5")
+            rows = cursor.fetchall()
+        is_encrypted = isinstance(connection._sock, ssl.SSLSocket)
+        connection.close()
+        return rows, is_encrypted
+
+    def use_as_operator():
+        url = node.admin.address.replace(HOST, "localhost") + "/v1/status"
+        headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
+        request = urllib.request.Request(url, headers=headers)
+        with urllib.request.urlopen(request, context=context, timeout=5) as response:
+            return response.status
+
+    try:
+        assert await asyncio.to_thread(use_as_caller) == (((5,),), True)
+        assert node.admin.address.startswith("https://")
+        assert await asyncio.to_thread(use_as_operator) == 200
+    finally:
+        await deployment.stop()
--- a/bench/whole_path_test.py
+++ b/bench/whole_path_test.py
@@ -9,7 +9,7 @@
 import pytest
 import pytest_asyncio
 
-from bench.inprocess import HOST, Deployment
+from bench.inprocess import HOST, Deployment, run
 from standins.every_type import VALUES_BY_TYPE
 
 
@@ -27,12 +27,6 @@
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 
-async def run(connection, sql, arguments=None):
-    cursor = connection.cursor()
-    await cursor.execute(sql, arguments)
-    return list(await cursor.fetchall() or ())
-
-
 @contextlib.asynccontextmanager
 async def caller(deployment, node_id="n0", **options):
     connection = await deployment.connect(node_id, **options)
