Use a share that grew only when the change is in force everywhere

Change: a larger share counts 4 s after the inventory is known; servers that were not declared before are exempt. Property tests of the sum and of the rule.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -229,7 +229,7 @@
     for count in session_sizes:
         sessions = []
         for number in range(count):
-            session = CallerSession(NOW_S)
+            session = CallerSession()
             session.note_seen(f"g{number % 60}", Position(4, 4900))
             sessions.append((session, f"g{number % 60}"))
         generator = random.Random(3)
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -21,7 +21,7 @@
     WritesUnavailableError,
 )
 from pollencleat.limits.retries import RetryBudget
-from pollencleat.limits.shares import connections_allowed
+from pollencleat.limits.shares import connections_allowed, settled_share
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.accounting import PrimaryReadAccount
@@ -88,6 +88,7 @@
         self._loads = LoadByServer(self.pools_by_server)
         self._credentials = credentials
         self._inventory_version = -1
+        self._inventory_changed_at_s = -1e9
         self._customer_by_user: dict[str, Customer] = {}
         self._group_by_database: dict[str, DatabaseGroup] = {}
         self._terms_seen: dict[str, GroupTerm] = {}
@@ -100,7 +101,11 @@
         if self.board.inventory.version != self._inventory_version:
             self._follow_inventory()
         for server_id, pool in self.pools_by_server.items():
-            allowed = connections_allowed(self.board, server_id)
+            allowed = settled_share(
+                pool.allowed,
+                connections_allowed(self.board, server_id),
+                self.clock() - self._inventory_changed_at_s,
+            )
             if server_id in self.board.vms.leaving:
                 pool.close_idle()
             if allowed != pool.allowed:
@@ -122,6 +127,8 @@
 
     def _follow_inventory(self) -> None:
         inventory = self.board.inventory
+        if self._inventory_version > 0:
+            self._inventory_changed_at_s = self.clock()
         self._inventory_version = inventory.version
         self._customer_by_user = {
             user: customer
@@ -142,9 +149,10 @@
             if server_id in self.pools_by_server:
                 continue
             database = inventory.groups_by_id[server.group_id].database
-            self.pools_by_server[server_id] = ServerPool(
-                server, database, self._credentials, self.clock
-            )
+            pool = ServerPool(server, database, self._credentials, self.clock)
+            # Nobody holds connections to a server that was not declared before.
+            pool.allow(connections_allowed(self.board, server_id))
+            self.pools_by_server[server_id] = pool
             self.monitors_by_server[server_id] = ServerMonitor(
                 server, self._credentials
             )
--- a/pollencleat/callers/server.py
+++ b/pollencleat/callers/server.py
@@ -57,7 +57,7 @@
     ) -> None:
         connection = CallerConnection(
             CallerStream(reader, writer, SERVER_CAPABILITIES),
-            CallerSession(self.gateway.clock()),
+            CallerSession(),
             self._control,
             self._identity_provider,
             self.gateway,
--- a/pollencleat/callers/session.py
+++ b/pollencleat/callers/session.py
@@ -81,7 +81,6 @@
             covered by seen_by_group.
     """
 
-    arrived_at_s: float
     variables: CallerVariables = field(default_factory=CallerVariables)
     username: str | None = None
     database: str | None = None
--- a/pollencleat/limits/shares.py
+++ b/pollencleat/limits/shares.py
@@ -8,6 +8,9 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.inventory.forecast import connection_share
 
+IN_FORCE_S = 4.0
+"""Time after which an accepted inventory is in force on every reachable node."""
+
 
 def connections_allowed(board: Blackboard, server_id: str) -> int:
     """Return the connections that this node may hold to a server.
@@ -30,3 +33,23 @@
     if not 0 <= member.seat < seats:
         return 0
     return connection_share(server.connections, seats)
+
+
+def settled_share(held: int, allowed: int, known_for_s: float) -> int:
+    """Return how much of a share may be used now.
+
+    A smaller share counts at once.  A larger one counts only when the inventory that
+    grants it has had time to reach the nodes that give up theirs.
+
+    Args:
+        held: The share in use.
+        allowed: The share by the newest inventory.
+        known_for_s: How long this node has known a change of the inventory; infinite
+            if it has seen none.
+
+    Returns:
+        Connections that may be open.
+    """
+    if allowed > held and known_for_s < IN_FORCE_S:
+        return held
+    return allowed
--- /dev/null
+++ b/pollencleat/limits/shares_test.py
@@ -0,0 +1,48 @@
+import math
+import random
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import BackendServer, Fleet, Inventory, Member, Rules
+from pollencleat.limits.shares import IN_FORCE_S, connections_allowed, settled_share
+
+
+@given(
+    st.integers(1, 40),
+    st.integers(1, 12),
+    st.lists(st.integers(-1, 14), unique=True, max_size=14),
+)
+def test_shares_of_all_seats_stay_within_the_declaration(connections, seats, taken):
+    server = BackendServer("s", "g", "h", 1, "d", 1, connections)
+    members = {
+        f"n{seat}": Member(f"n{seat}", f"i{seat}", "d", "", "", seat, True)
+        for seat in taken
+    }
+    total = 0
+    for member in members.values():
+        board = Blackboard(
+            member.node_id, member.incarnation, "d", "", "", random.Random(1)
+        )
+        board.adopt_fleet(Fleet(1, members), 0.0)
+        board.adopt_inventory(
+            Inventory(
+                1, servers_by_id={"s": server}, rules=replace(Rules(), seats=seats)
+            )
+        )
+        total += connections_allowed(board, "s")
+    assert total <= connections
+
+
+@given(st.integers(0, 30), st.integers(0, 30), st.floats(0, 10))
+def test_share_shrinks_at_once_and_grows_when_the_change_is_in_force(
+    held, allowed, known_for_s
+):
+    share = settled_share(held, allowed, known_for_s)
+    if allowed <= held or known_for_s >= IN_FORCE_S:
+        assert share == allowed
+    else:
+        assert share == held
+    assert settled_share(held, allowed, math.inf) == allowed
