Take a promotion over from a silent owner, not from a slow one

Cause: a promotion was taken over after 6 s, while its owner may wait 12 s for a replica to apply what it received; with a replica further behind, nodes took the promotion from each other without end. Found by reading. Change: the owner is asked every 0.4 s; 2.5 s of silence, or 18 s in all, lead to a take-over.

--- a/bench/fleet_test.py
+++ b/bench/fleet_test.py
@@ -411,3 +411,35 @@
     world.kill_server(current_primary(world))
     world.advance(10.0)
     assert world.platform.fleet.terms_by_group[GROUP].term == 2
+
+
+def test_slow_replica_ends_the_wait_in_stated_time_without_take_overs(world):
+    """Regression: promotions were taken over after 6 s, before the wait for a replica
+    could end, again and again."""
+    session = FakeSession("s", True)
+    for server in world.servers.values():
+        server.lag_s = 60.0
+    for _ in range(10):
+        world.write(session, "nb")
+        world.advance(0.1)
+    world.kill_server(current_primary(world))
+    gap_s = measure_gap(world)
+    assert gap_s is not None and gap_s <= GAP_LIMIT_S
+    assert world.platform.fleet.terms_by_group[GROUP].term == 2
+
+
+def test_promotion_of_a_paused_owner_is_taken_over(world):
+    primary = current_primary(world)
+    world.kill_server(primary)
+    while world.platform.fleet.terms_by_group[GROUP].promotion is None:
+        world.advance(0.01)
+    owner = world.platform.fleet.terms_by_group[GROUP].promotion.node_id
+    world.nodes[owner].paused = True
+    gap_s = measure_gap(world)
+    assert gap_s is not None and gap_s <= 10.0
+    world.resume(world.nodes[owner])
+    world.advance(5.0)
+    term = world.platform.fleet.terms_by_group[GROUP]
+    assert term.term == 3 and not world.servers[term.primary].read_only
+    writable = [item for item in world.servers.values() if not item.read_only]
+    assert len([item for item in writable if item.alive]) == 1
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -61,8 +61,14 @@
 RANK_DELAY_S = 0.25
 """Each further candidate waits this much longer before it begins."""
 
-TAKE_OVER_AFTER_S = 6.0
-"""A promotion by somebody else that lasts longer is taken over."""
+OWNER_SILENT_S = 2.5
+"""A promotion is taken over when its owner has answered nothing for this long."""
+
+TAKE_OVER_AFTER_S = 18.0
+"""A promotion that lasts longer is taken over from an owner that answers, too."""
+
+ASK_OWNER_S = 0.4
+"""Time between two questions to the owner of a promotion."""
 
 ASK_AGAIN_S = 0.1
 """Time between two questions to a server, and between repeated messages."""
@@ -102,6 +108,8 @@
         self.attempts_by_group: dict[str, Attempt] = {}
         self.suspects_by_group: dict[str, Suspect] = {}
         self.foreign_since_s: dict[str, tuple[str, float]] = {}
+        self._owner_asked_at_s: dict[str, float] = {}
+        self._heard_at_s: dict[str, float] = {}
         self._start_pending: UpdateFleet | None = None
         self._start_unknown = False
         self._publish_pending: set[str] = set()
@@ -231,6 +239,7 @@
                 towards keeping the primary.
             now_s: Local time.
         """
+        self._heard_at_s[sighting.node_id] = now_s
         for group_id, suspect in self.suspects_by_group.items():
             term = self.board.group_term(group_id)
             if term is None or term.primary != sighting.server_id:
@@ -251,9 +260,21 @@
         wait_s = self._rank(term.group_id) * RANK_DELAY_S
         owner = self.board.fleet.members_by_id.get(promotion.node_id)
         owner_is_gone = owner is None or owner.incarnation != promotion.incarnation
-        if not owner_is_gone:
-            wait_s += TAKE_OVER_AFTER_S
-        return now_s - since_s >= wait_s
+        if owner_is_gone:
+            return now_s - since_s >= wait_s
+        self._ask_owner(promotion, now_s)
+        heard_at_s = max(since_s, self._heard_at_s.get(promotion.node_id, since_s))
+        if now_s - heard_at_s >= wait_s + OWNER_SILENT_S:
+            return True
+        return now_s - since_s >= wait_s + TAKE_OVER_AFTER_S
+
+    def _ask_owner(self, promotion: Promotion, now_s: float) -> None:
+        asked_at_s = self._owner_asked_at_s.get(promotion.node_id, -1e9)
+        if now_s - asked_at_s < ASK_OWNER_S:
+            return
+        self._owner_asked_at_s[promotion.node_id] = now_s
+        request = SightingRequest(self.board.node_id, promotion.old_primary)
+        self.board.send(promotion.node_id, request)
 
     def _make_promotion(self, old_primary: str, planned: bool, cause: str) -> Promotion:
         board = self.board
