--- a/bench/measure.py
+++ b/bench/measure.py
@@ -156,8 +156,19 @@
 @click.option("--shape", "shape_name", type=click.Choice(list(SHAPES)))
 @click.option("--duration", default=5.0, help="Seconds of each load.")
 @click.option("--repeats", type=int, help="Runs of each loss, instead of the table's.")
+@click.option(
+    "--scenario",
+    "scenarios",
+    type=click.Choice(list(REPEATS_BY_SCENARIO)),
+    multiple=True,
+    help="Only these losses.",
+)
 def main(
-    only: str | None, shape_name: str | None, duration: float, repeats: int | None
+    only: str | None,
+    shape_name: str | None,
+    duration: float,
+    repeats: int | None,
+    scenarios: tuple[str, ...],
 ) -> None:
     """Measure throughput, replica shares and failover gaps."""
     result: dict = {}
@@ -165,7 +176,11 @@
         with RunningCluster(DEMO) as cluster:
             result["speed"] = measure_ratio(cluster, 6000)
             click.echo(f"speed {json.dumps(result['speed'])}")
-    table = {name: repeats or count for name, count in REPEATS_BY_SCENARIO.items()}
+    table = {
+        name: repeats or count
+        for name, count in REPEATS_BY_SCENARIO.items()
+        if not scenarios or name in scenarios
+    }
     names = [shape_name] if shape_name else list(SHAPES)
     for name in names if only != "speed" else ():
         click.echo(name)
