--- a/bench/fleet_test.py
+++ b/bench/fleet_test.py
@@ -443,3 +443,28 @@
     assert term.term == 3 and not world.servers[term.primary].read_only
     writable = [item for item in world.servers.values() if not item.read_only]
     assert len([item for item in writable if item.alive]) == 1
+
+
+def test_start_whose_update_was_lost_is_sent_again(world):
+    """Regression: every candidate's update was lost in an outage that began just after
+    the primary died; each waited for a newer version, which nobody wrote."""
+    world.kill_server(current_primary(world))
+    world.advance(0.45)
+    world.platform.is_down = True
+    world.advance(3.0)
+    world.platform.is_down = False
+    gap_s = measure_gap(world)
+    assert gap_s is not None and gap_s <= 6.0
+    world.advance(3.0)
+    assert not any(node.board.promoting for node in world.nodes.values())
+
+
+@pytest.mark.parametrize("delay_s", [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1.0])
+def test_outage_at_any_moment_of_a_failover_ends_in_stated_time(world, delay_s):
+    world.kill_server(current_primary(world))
+    world.advance(delay_s)
+    world.platform.is_down = True
+    world.advance(4.0)
+    world.platform.is_down = False
+    gap_s = measure_gap(world)
+    assert gap_s is not None and gap_s <= 6.0
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -111,7 +111,7 @@
         self._owner_asked_at_s: dict[str, float] = {}
         self._heard_at_s: dict[str, float] = {}
         self._start_pending: UpdateFleet | None = None
-        self._start_unknown = False
+        self._start_unknown_since_s: float | None = None
         self._publish_pending: set[str] = set()
         self._attempt_counter = 0
 
@@ -301,7 +301,7 @@
         if result.effect.purpose != START_PURPOSE:
             return
         if result.version is None:
-            self._start_unknown = True
+            self._start_unknown_since_s = now_s
             return
         self._end_start()
         self._adopt_own_attempts(now_s)
@@ -314,14 +314,25 @@
                 board.send(node_id, State(board.node_id, board.fleet, None, None))
 
     def _settle_unknown_start(self) -> None:
-        if not self._start_unknown:
+        """Find out what became of a start whose answer was lost.
+
+        A newer version tells.  If a later read still shows the expected one, the update
+        is sent again: it is conditional, so that at most one of both takes effect, and
+        they are the same.
+        """
+        if self._start_unknown_since_s is None:
             return
-        if self.board.fleet.version > self._start_pending.expected_version:
+        board = self.board
+        if board.fleet.version > self._start_pending.expected_version:
             self._end_start()
+            return
+        if board.fresh_at_s > self._start_unknown_since_s:
+            self._start_unknown_since_s = None
+            board.effects.append(self._start_pending)
 
     def _end_start(self) -> None:
         self._start_pending = None
-        self._start_unknown = False
+        self._start_unknown_since_s = None
         self.board.promoting = False
 
     # Carrying out.
