Stop reading from a server while the caller does not take its answer

Cause: the driver has no backpressure; for a caller who did not read, the node held 36.0 MB of a 40 MB result. Change: reading from the server is paused while the caller's send buffer is full.

--- a/bench/whole_path_test.py
+++ b/bench/whole_path_test.py
@@ -394,3 +394,27 @@
     async with caller(deployment) as connection:
         assert await run(connection, "SELECT v FROM t WHERE v = 'before schema'")
         assert not await run(connection, "SELECT id FROM made")
+
+
+async def test_caller_who_does_not_read_costs_bounded_memory(deployment):
+    """Regression: the driver read a whole result into memory for a slow caller."""
+    async with caller(deployment) as connection:
+        await run(connection, "CREATE TABLE wide (id INTEGER PRIMARY KEY, b BLOB)")
+        for _ in range(4):
+            values = ", ".join(["(zeroblob(1000000))"] * 10)
+            await run(connection, f"INSERT INTO wide (b) VALUES {values}")
+    slow = await deployment.connect()
+    slow._transport.pause_reading()
+    slow._write_bytes(frame(0, b"\x03SELECT id, b FROM wide"))
+    await asyncio.sleep(1.0)
+    held = [
+        lease.connection._proto.length - lease.connection._proto.pos
+        for pool in deployment.nodes["n0"].gateway.pools_by_server.values()
+        for lease in pool._leases
+    ]
+    assert held and max(held) < 4_000_000
+    slow._transport.resume_reading()
+    slow._next_seq_id = 1
+    await slow._read_query_result()
+    assert len(slow._result.rows) == 40
+    slow.close()
--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -163,6 +163,16 @@
         """
         self.has_open_transaction = is_in_transaction(status)
 
+    def pause_reading(self) -> None:
+        """Let the server wait; called while a caller does not take its answer."""
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     @property
     def deprecates_eof(self) -> bool:
         """Whether result sets end with an OK packet."""
--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -412,16 +412,16 @@
         parameters = int.from_bytes(answer[0][7:9], "little")
         self.prepared_by_id[statement_id] = PreparedText(statement_id, text, parameters)
         identity = statement_id.to_bytes(ID_BYTES, "little")
-        await self.stream.forward(answer[0][:1] + identity + answer[0][5:])
+        await self.stream.write(answer[0][:1] + identity + answer[0][5:], drain=False)
         position = 1
         for count in (parameters, columns):
             if not count:
                 continue
             for payload in answer[position : position + count]:
-                await self.stream.forward(payload)
+                await self.stream.write(payload, drain=False)
             position += count + (0 if deprecates_eof else 1)
             if not self.deprecate_eof():
-                await self.stream.forward(self.eof())
+                await self.stream.write(self.eof(), drain=False)
         await self.stream.drain()
 
     async def _describe(self, text: str, hints: Hints) -> tuple[list[bytes], bool]:
--- a/pollencleat/callers/relay.py
+++ b/pollencleat/callers/relay.py
@@ -86,31 +86,31 @@
         was handed on too.
     """
     deprecates_eof = connection.deprecates_eof
-    await stream.forward(answer.first)
+    await stream.forward(answer.first, connection)
     columns, _ = read_length_encoded(answer.first, 0)
     for _ in range(columns):
-        await stream.forward(await connection.read_raw())
+        await stream.forward(await connection.read_raw(), connection)
     if not deprecates_eof:
         await connection.read_raw()
     if not caller_deprecates_eof:
-        await stream.forward(make_end.eof(0))
+        await stream.forward(make_end.eof(0), connection)
     read_raw = connection.read_raw
     while True:
         data = await read_raw()
         if not is_last_packet(data, deprecates_eof):
-            await stream.forward(data)
+            await stream.forward(data, connection)
             continue
         if data[0] == ERROR_HEADER:
-            await stream.forward(data)
+            await stream.forward(data, connection)
             return None
         status = status_of_end(data, deprecates_eof)
         connection.note_status(status)
         if deprecates_eof == caller_deprecates_eof:
-            await stream.forward(data)
+            await stream.forward(data, connection)
         elif caller_deprecates_eof:
-            await stream.forward(make_end.ok_as_eof(status))
+            await stream.forward(make_end.ok_as_eof(status), connection)
         else:
-            await stream.forward(make_end.eof(status))
+            await stream.forward(make_end.eof(status), connection)
         return status
 
 
--- a/pollencleat/callers/stream.py
+++ b/pollencleat/callers/stream.py
@@ -5,12 +5,15 @@
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import Capabilities
 
+from pollencleat.backend.connection import BackendConnection
 from pollencleat.callers.handshake import FIXED_BYTES, is_complete_answer
 from pollencleat.core.constants import MAX_STATEMENT_BYTES
 from pollencleat.core.errors import StatementTooLargeError
 
 HEADER_BYTES = 4
 MAX_PAYLOAD_BYTES = 0xFFFFFF
+FLUSH_BYTES = 32 * 1024
+"""The library's stream sends when it holds this much."""
 
 
 class CallerStream:
@@ -30,6 +33,7 @@
         self.writer = writer
         self.awaits_handshake = True
         self._capabilities = capabilities
+        self._unsent_bytes = 0
         self._inner = MysqlStream(reader, writer)
         self.seq = self._inner.seq
         self.write = self._inner.write
@@ -78,10 +82,23 @@
         except (asyncio.IncompleteReadError, OSError) as error:
             raise ConnectionClosed from error
 
-    async def forward(self, payload: bytes) -> None:
-        """Send a packet on, waiting only when the send buffer is large.
+    async def forward(self, payload: bytes, source: BackendConnection) -> None:
+        """Send a packet on; while the caller is slow, nothing is read for it.
+
+        The driver reads whatever arrives into memory, so that a caller who does not
+        read would make the node hold a whole result.
 
         Args:
             payload: A payload from a backend server.
+            source: The connection that it came from.
         """
-        await self.write(payload, drain=False)
+        self._unsent_bytes += len(payload)
+        if self._unsent_bytes < FLUSH_BYTES:
+            await self.write(payload, drain=False)
+            return
+        self._unsent_bytes = 0
+        source.pause_reading()
+        try:
+            await self.write(payload, drain=True)
+        finally:
+            source.resume_reading()
