--- a/bench/failures_test.py
+++ b/bench/failures_test.py
@@ -234,3 +234,18 @@
     assert await reading == [(8,)]
     assert deployment.nodes["n0"].metrics.counts[("read_retried", "g")] >= 1
     connection.close()
+
+
+@pytest.mark.parametrize("sql", ["INSERT INTO t (v) VALUES ('ro')", "BEGIN"])
+async def test_refusal_of_a_read_only_primary_is_told_as_not_run(deployment, sql):
+    """Regression: an error in BEGIN closed the connection without an answer."""
+    primary = primary_of(deployment)
+    connection = await deployment.connect()
+    await run(connection, "INSERT INTO t (v) VALUES ('first')")
+    deployment.servers[primary].database.read_only = True
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await run(connection, sql)
+    assert "WritesUnavailableError [not run]" in str(caught.value)
+    assert count_rows(deployment, primary, "ro") == 0
+    assert await run(connection, "SELECT 1")
+    connection.close()
--- a/bench/fleet_test.py
+++ b/bench/fleet_test.py
@@ -227,6 +227,7 @@
     [
         "trust a stale position",
         "skip the wait for permits",
+        "promote without a voucher",
         "write while a promotion is in progress",
     ],
 )
--- a/pollencleat/callers/acknowledgement.py
+++ b/pollencleat/callers/acknowledgement.py
@@ -5,12 +5,18 @@
 from pollencleat.backend import operations
 from pollencleat.backend.connection import BackendStatementError
 from pollencleat.backend.pool import Lease
-from pollencleat.callers.context import ANSWER_LIMIT_S, StatementContext
+from pollencleat.callers.context import (
+    ANSWER_LIMIT_S,
+    READ_ONLY_CODES,
+    StatementContext,
+)
 from pollencleat.core.data import Customer, GroupTerm, Position
 from pollencleat.core.errors import (
+    CallerError,
     SessionHistoryLostError,
     TransactionLostError,
     UnknownOutcomeError,
+    WritesUnavailableError,
 )
 from pollencleat.routing.tokens import floor_position
 
@@ -33,8 +39,7 @@
     try:
         floor_position(term, seen)
     except SessionHistoryLostError:
-        context.session.seen_by_group.pop(term.group_id, None)
-        context.session.floor_known.discard(term.group_id)
+        context.session.forget_history(term.group_id)
         raise
 
 
@@ -106,3 +111,18 @@
     except BackendStatementError as error:
         raise TransactionLostError(str(error)) from error
     await acknowledge(context, term, lease)
+
+
+def refusal_of(error: BackendStatementError, term: GroupTerm) -> CallerError:
+    """Return the error to tell a caller when the primary refused a statement.
+
+    Args:
+        error: The server's error.
+        term: The term that the statement was sent in.
+
+    Returns:
+        The same error, or that writes are unavailable if the server is read-only.
+    """
+    if error.code not in READ_ONLY_CODES:
+        return error
+    return WritesUnavailableError(f"{term.primary} is read-only", 200)
--- a/pollencleat/callers/reads.py
+++ b/pollencleat/callers/reads.py
@@ -139,9 +139,7 @@
     try:
         return floor_position(term, seen)
     except SessionHistoryLostError:
-        # Told once; afterwards the session goes on from what there is now.
-        session.seen_by_group.pop(group_id, None)
-        session.floor_known.discard(group_id)
+        session.forget_history(group_id)
         raise
 
 
--- a/pollencleat/callers/session.py
+++ b/pollencleat/callers/session.py
@@ -102,6 +102,15 @@
         self.seen_by_group[group_id] = later_of(self.seen_by_group.get(group_id), seen)
         self.token_group = group_id
 
+    def forget_history(self, group_id: str) -> None:
+        """Go on from what there is now, after the session was told of a loss.
+
+        Args:
+            group_id: The group whose failover lost what the session saw.
+        """
+        self.seen_by_group.pop(group_id, None)
+        self.floor_known.discard(group_id)
+
     async def close(self) -> None:
         """Give up an open transaction; its connection is closed, so it rolls back."""
         self.end_transaction(reusable=False)
--- a/pollencleat/callers/transactions.py
+++ b/pollencleat/callers/transactions.py
@@ -7,13 +7,13 @@
 from pollencleat.callers.acknowledgement import (
     borrow_primary,
     commit_on_server,
+    refusal_of,
     require_known_history,
 )
 from pollencleat.callers.claims import claim_request
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import (
     ANSWER_LIMIT_S,
-    READ_ONLY_CODES,
     Done,
     StatementContext,
     ask,
@@ -69,9 +69,7 @@
                 await claim_for_transaction(context, customer, lease, hints)
     except BackendStatementError as error:
         lease.give_back(False)
-        if error.code in READ_ONLY_CODES:
-            raise WritesUnavailableError(f"{term.primary} is read-only", 200) from error
-        raise
+        raise refusal_of(error, term) from error
     except (BackendLostError, TimeoutError) as error:
         lease.give_back(False)
         raise WritesUnavailableError(f"{term.primary}: {error}", 200) from error
--- a/pollencleat/callers/writes.py
+++ b/pollencleat/callers/writes.py
@@ -5,13 +5,13 @@
 from pollencleat.callers.acknowledgement import (
     acknowledge,
     borrow_primary,
+    refusal_of,
     require_known_history,
 )
 from pollencleat.callers.claims import run_once
 from pollencleat.callers.commands import Command
 from pollencleat.callers.context import (
     ANSWER_LIMIT_S,
-    READ_ONLY_CODES,
     Done,
     StatementContext,
     ask,
@@ -62,9 +62,7 @@
         return done
     except BackendStatementError as error:
         reusable = True
-        if error.code in READ_ONLY_CODES:
-            raise WritesUnavailableError(f"{term.primary} is read-only", 200) from error
-        raise
+        raise refusal_of(error, term) from error
     except (BackendLostError, TimeoutError) as error:
         raise UnknownOutcomeError(f"no answer from {term.primary}: {error}") from (
             error
