--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -17,6 +17,7 @@
     Inventory,
     Position,
     ServerStatus,
+    TermStart,
     VmList,
 )
 from pollencleat.core.effects import (
@@ -488,7 +489,11 @@
             effect.server_id,
             promote,
             lambda start: node.node.handle(
-                ServerPromoted(effect.attempt_id, effect.server_id, start)
+                ServerPromoted(
+                    effect.attempt_id,
+                    effect.server_id,
+                    None if start is None else TermStart(effect.term, start),
+                )
             ),
         )
 
--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -163,6 +163,12 @@
         """
         self.has_open_transaction = is_in_transaction(status)
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether it is open as far as is known; no command may be under way."""
+        protocol = self._proto
+        return self.connected and protocol is not None and not protocol.eof
+
     def pause_reading(self) -> None:
         """Let the server wait; called while a caller does not take its answer."""
         if not self._transport.is_closing():
--- a/pollencleat/backend/monitor.py
+++ b/pollencleat/backend/monitor.py
@@ -9,7 +9,7 @@
     BackendStatementError,
     open_connection,
 )
-from pollencleat.backend.pool import Credentials, is_broken
+from pollencleat.backend.pool import Credentials
 from pollencleat.core.data import BackendServer, ServerStatus
 from pollencleat.core.errors import BackendError, BackendRefusedError
 
@@ -114,7 +114,7 @@
             raise BackendError(f"{self.server.server_id}: {error}") from error
 
     async def _connect(self) -> BackendConnection:
-        if self._connection is not None and not is_broken(self._connection):
+        if self._connection is not None and self._connection.is_usable:
             return self._connection
         self.close()
         self._connection = await open_connection(
--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Protocol
 
-from pollencleat.backend.connection import BackendConnection, open_connection
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import (
     BackendError,
@@ -37,6 +37,21 @@
     password: str
 
 
+class PooledConnection(Protocol):
+    """What a pool needs to know of a connection, whatever protocol it speaks."""
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether nothing speaks against lending it."""
+
+    @property
+    def has_open_transaction(self) -> bool:
+        """Whether the server holds a transaction open on it."""
+
+    def close(self) -> None:
+        """Close it; the server rolls back what is open."""
+
+
 @dataclass(eq=False, slots=True)
 class Lease:
     """A connection lent for one statement or transaction.
@@ -46,7 +61,7 @@
         is_read: The statement may be asked again elsewhere.
     """
 
-    connection: BackendConnection
+    connection: PooledConnection
     ticket: Ticket
     opened_for_term: int
     pool: "ServerPool"
@@ -67,19 +82,17 @@
     def __init__(
         self,
         server: BackendServer,
-        database: str,
-        credentials: Credentials,
+        open_to_server: Callable[[], Awaitable[PooledConnection]],
         clock: Callable[[], float],
     ) -> None:
         """Start empty, with no connection allowed."""
         self.server = server
-        self.database = database
         self.queue = ServerQueue(0)
         self.open_count = 0
         self.allowed = 0
-        self._credentials = credentials
+        self._open_to_server = open_to_server
         self._clock = clock
-        self._idle: list[tuple[BackendConnection, int]] = []
+        self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
         self._openings: set[asyncio.Task] = set()
 
@@ -163,25 +176,17 @@
             if not ticket.settle.done():
                 ticket.settle.set_result(None)
 
-    def _pop_idle(self, term: int) -> tuple[BackendConnection, int] | None:
+    def _pop_idle(self, term: int) -> tuple[PooledConnection, int] | None:
         while self._idle:
             connection, opened_for_term = self._idle.pop()
-            if opened_for_term >= term and not is_broken(connection):
+            if opened_for_term >= term and connection.is_usable:
                 return connection, opened_for_term
             self._close(connection)
         return None
 
-    async def _open(self) -> BackendConnection:
+    async def _open(self) -> PooledConnection:
         self.open_count += 1
-        opening = asyncio.get_running_loop().create_task(
-            open_connection(
-                self.server.host,
-                self.server.port,
-                self._credentials.user,
-                self._credentials.password,
-                self.database,
-            )
-        )
+        opening = asyncio.get_running_loop().create_task(self._open_to_server())
         self._openings.add(opening)
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
@@ -213,7 +218,7 @@
             return
         self._leases.discard(lease)
         is_surplus = self.open_count > self.queue.capacity
-        is_clean = not is_broken(lease.connection) and (
+        is_clean = lease.connection.is_usable and (
             not lease.connection.has_open_transaction
         )
         if reusable and is_clean and not is_surplus:
@@ -293,7 +298,7 @@
         for lease in self._leases:
             lease.connection.close()
 
-    def _close(self, connection: BackendConnection) -> None:
+    def _close(self, connection: PooledConnection) -> None:
         self.open_count -= 1
         connection.close()
 
@@ -304,16 +309,3 @@
         opening.cancel()
     elif not opening.cancelled() and opening.exception() is None:
         opening.result().close()
-
-
-def is_broken(connection: BackendConnection) -> bool:
-    """Return whether a connection is known to be unusable.
-
-    Args:
-        connection: A connection with no command under way.
-
-    Returns:
-        True if it was closed or the server ended it.
-    """
-    protocol = connection._proto
-    return not connection.connected or protocol is None or protocol.eof
--- a/pollencleat/backend/pool_test.py
+++ b/pollencleat/backend/pool_test.py
@@ -1,12 +1,12 @@
 import asyncio
 import itertools
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pollencleat.backend import pool as pool_module
-from pollencleat.backend.pool import Credentials, ServerPool
+from pollencleat.backend.pool import ServerPool
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import (
     BackendError,
@@ -17,6 +17,7 @@
 SHARE = 4
 ACTIONS = ("borrow", "keep", "drop", "warm", "cancel")
 SERVER = BackendServer("s", "g", "h", 1, "d", 2, 30)
+driver = SimpleNamespace(open_connection=None)
 
 
 class FakeConnection:
@@ -28,9 +29,12 @@
         self.number = next(self.numbers)
         self.connected = True
         self.has_open_transaction = False
-        self._proto = self
         self.eof = False
 
+    @property
+    def is_usable(self):
+        return self.connected and not self.eof
+
     def close(self):
         self.connected = False
 
@@ -44,13 +48,15 @@
         connections.append(FakeConnection())
         return connections[-1]
 
-    monkeypatch.setattr(pool_module, "open_connection", open_connection)
+    monkeypatch.setattr(driver, "open_connection", open_connection)
     return connections
 
 
 def make_pool():
     clock = itertools.count()
-    pool = ServerPool(SERVER, "d", Credentials("u", "p"), lambda: next(clock) * 0.001)
+    pool = ServerPool(
+        SERVER, lambda: driver.open_connection(), lambda: next(clock) * 0.001
+    )
     pool.allow(SHARE)
     return pool
 
@@ -105,7 +111,7 @@
         raise BackendError("refused")
 
     with monkeypatch.context() as patch:
-        patch.setattr(pool_module, "open_connection", refuse)
+        patch.setattr(driver, "open_connection", refuse)
         for _ in range(10):
             with pytest.raises(Exception, match="refused"):
                 await borrow(pool)
@@ -146,12 +152,12 @@
         await asyncio.sleep(0)
         return FakeConnection()
 
-    original = pool_module.open_connection
-    pool_module.open_connection = open_connection
+    original = driver.open_connection
+    driver.open_connection = open_connection
     try:
         asyncio.run(scenario())
     finally:
-        pool_module.open_connection = original
+        driver.open_connection = original
 
 
 async def test_wait_beyond_the_deadline_is_refused(opened):
@@ -173,7 +179,7 @@
         started.set()
         await asyncio.Event().wait()
 
-    monkeypatch.setattr(pool_module, "open_connection", never)
+    monkeypatch.setattr(driver, "open_connection", never)
     pool = make_pool()
     borrowing = asyncio.create_task(borrow(pool))
     await started.wait()
--- a/pollencleat/callers/gateway.py
+++ b/pollencleat/callers/gateway.py
@@ -5,15 +5,23 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable
 
 import structlog
 
+from pollencleat.backend.connection import BackendConnection, open_connection
 from pollencleat.backend.monitor import ServerMonitor
 from pollencleat.backend.pool import Credentials, Lease, ServerPool
+from pollencleat.backend.pools import ServerPools
 from pollencleat.backend.sampler import ServerSampler
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import Customer, DatabaseGroup, GroupTerm, Position
+from pollencleat.core.data import (
+    BackendServer,
+    Customer,
+    DatabaseGroup,
+    GroupTerm,
+    Position,
+)
 from pollencleat.core.errors import (
     DrainingError,
     NoReplicaError,
@@ -21,7 +29,6 @@
     WritesUnavailableError,
 )
 from pollencleat.limits.retries import RetryBudget
-from pollencleat.limits.shares import connections_allowed, settled_share
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.accounting import PrimaryReadAccount
@@ -36,34 +43,9 @@
 
 WRITES_RETRY_AFTER_MS = 200
 REPLICA_POLL_S = 0.004
-WARM_CONNECTIONS = 3
-SILENT_SERVER_S = 1.2
-"""A read is taken from a server that has answered no sample for this long; a slow read
-at a live server goes on."""
-
 log = structlog.get_logger()
 
 
-class LoadByServer(Mapping):
-    """Loads of the pools, computed when looked up."""
-
-    def __init__(self, pools_by_server: dict[str, ServerPool]) -> None:
-        """Look up in the given pools."""
-        self._pools_by_server = pools_by_server
-
-    def __getitem__(self, server_id: str) -> float:
-        """Return the load of a server's queue."""
-        return self._pools_by_server[server_id].queue.load()
-
-    def __iter__(self):
-        """Iterate over server ids."""
-        return iter(self._pools_by_server)
-
-    def __len__(self) -> int:
-        """Return the number of servers."""
-        return len(self._pools_by_server)
-
-
 class Gateway:
     """Pools and monitors of all servers, and the decisions about statements."""
 
@@ -79,57 +61,27 @@
         self.metrics = metrics
         self.clock = clock
         self.retry_budget = RetryBudget()
-        self.pools_by_server: dict[str, ServerPool] = {}
+        self.pools = ServerPools(board, clock, self._make_pool)
+        self.pools_by_server = self.pools.pools_by_server
         self.monitors_by_server: dict[str, ServerMonitor] = {}
         self._account = PrimaryReadAccount(metrics.count)
         self.sampler = ServerSampler(
             board, self.monitors_by_server, self._account, clock
         )
-        self._loads = LoadByServer(self.pools_by_server)
         self._credentials = credentials
-        self._inventory_version = -1
-        self._inventory_changed_at_s = -1e9
+        self._inventory_seen: object = None
         self._customer_by_user: dict[str, Customer] = {}
         self._group_by_database: dict[str, DatabaseGroup] = {}
-        self._terms_seen: dict[str, GroupTerm] = {}
-        self._background: set[asyncio.Task] = set()
 
     # Keeping up with the blackboard.
 
     def follow_board(self) -> None:
-        """Adapt pools to the inventory, the seat and the terms."""
-        if self.board.inventory.version != self._inventory_version:
-            self._follow_inventory()
-        for server_id, pool in self.pools_by_server.items():
-            allowed = settled_share(
-                pool.allowed,
-                connections_allowed(self.board, server_id),
-                self.clock() - self._inventory_changed_at_s,
-            )
-            if server_id in self.board.vms.leaving:
-                pool.close_idle()
-            if allowed != pool.allowed:
-                pool.allow(allowed)
-            if self._fell_silent(server_id):
-                pool.end_reads()
-                pool.close_idle()
-        for group_id, term in self.board.fleet.terms_by_group.items():
-            seen = self._terms_seen.get(group_id, GroupTerm(group_id, 0, ""))
-            if (seen.term, seen.primary) != (term.term, term.primary):
-                self._follow_term(seen, term)
-
-    def _fell_silent(self, server_id: str) -> bool:
-        """Return whether a server that used to answer samples does so no more."""
-        view = self.board.servers_by_id.get(server_id)
-        if view is None or view.status is None:
-            return False
-        return self.clock() - view.answered_at_s > SILENT_SERVER_S
-
-    def _follow_inventory(self) -> None:
+        """Adapt pools, monitors and names to the blackboard."""
+        self.pools.follow_board()
         inventory = self.board.inventory
-        if self._inventory_version > 0:
-            self._inventory_changed_at_s = self.clock()
-        self._inventory_version = inventory.version
+        if inventory is self._inventory_seen:
+            return
+        self._inventory_seen = inventory
         self._customer_by_user = {
             user: customer
             for customer in inventory.customers_by_id.values()
@@ -138,54 +90,29 @@
         self._group_by_database = {
             group.database: group for group in inventory.groups_by_id.values()
         }
-        for server_id, pool in list(self.pools_by_server.items()):
-            if inventory.servers_by_id.get(server_id) == pool.server:
-                continue
-            pool.allow(0)
-            pool.close()
-            del self.pools_by_server[server_id]
-            self.monitors_by_server.pop(server_id).close()
+        for server_id, monitor in list(self.monitors_by_server.items()):
+            if inventory.servers_by_id.get(server_id) != monitor.server:
+                self.monitors_by_server.pop(server_id).close()
         for server_id, server in inventory.servers_by_id.items():
-            if server_id in self.pools_by_server:
-                continue
-            database = inventory.groups_by_id[server.group_id].database
-            pool = ServerPool(server, database, self._credentials, self.clock)
-            # Nobody holds connections to a server that was not declared before.
-            pool.allow(connections_allowed(self.board, server_id))
-            self.pools_by_server[server_id] = pool
-            self.monitors_by_server[server_id] = ServerMonitor(
-                server, self._credentials
+            if server_id not in self.monitors_by_server:
+                self.monitors_by_server[server_id] = ServerMonitor(
+                    server, self._credentials
+                )
+
+    def _make_pool(self, server: BackendServer) -> ServerPool:
+        database = self.board.inventory.groups_by_id[server.group_id].database
+        credentials = self._credentials
+
+        def open_to_server() -> Awaitable[BackendConnection]:
+            return open_connection(
+                server.host,
+                server.port,
+                credentials.user,
+                credentials.password,
+                database,
             )
 
-    def _follow_term(self, seen: GroupTerm, term: GroupTerm) -> None:
-        """End the former primary's connections; warm up those of the next.
-
-        The next primary is not known while it is being chosen, so connections of the
-        new term are opened to every candidate.
-        """
-        group = self.board.inventory.groups_by_id.get(term.group_id)
-        if group is None:
-            return
-        self._terms_seen[term.group_id] = term
-        former = term.promotion.old_primary if term.promotion else seen.primary
-        for server_id in group.server_ids:
-            pool = self.pools_by_server.get(server_id)
-            if pool is None:
-                continue
-            if server_id == former and server_id != term.primary:
-                pool.end_older_terms(term.term)
-            elif term.primary in ("", server_id):
-                self.start(pool.warm_up(WARM_CONNECTIONS, term.term))
-
-    def start(self, coroutine) -> None:
-        """Run a coroutine in the background and keep a reference to it.
-
-        Args:
-            coroutine: What to run.
-        """
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        return ServerPool(server, open_to_server, self.clock)
 
     def open_connections(self) -> dict[str, int]:
         """Return the open connections to each server.
@@ -200,9 +127,7 @@
 
     def close(self) -> None:
         """Close all connections to backend servers."""
-        for pool in self.pools_by_server.values():
-            pool.allow(0)
-            pool.close()
+        self.pools.close()
         for monitor in self.monitors_by_server.values():
             monitor.close()
 
@@ -359,7 +284,7 @@
             NoReplicaError: Nobody can answer within the limits.
         """
         now_s = self.clock()
-        server_id = choose_replica(self.board, request, self._loads, now_s)
+        server_id = choose_replica(self.board, request, self.pools.loads, now_s)
         if server_id is not None:
             return server_id
         if is_wait_worthwhile(self.board, request, now_s):
@@ -372,7 +297,7 @@
             if request.max_age_s > 0:
                 self._account_primary_read(request, term, now_s)
             return term.primary
-        server_id = choose_replica(self.board, request, self._loads, now_s, True)
+        server_id = choose_replica(self.board, request, self.pools.loads, now_s, True)
         if server_id is not None:
             return server_id
         raise NoReplicaError(
@@ -404,7 +329,9 @@
             await asyncio.wait(
                 tasks, timeout=request.wait_s, return_when=asyncio.FIRST_COMPLETED
             )
-            server_id = choose_replica(self.board, request, self._loads, self.clock())
+            server_id = choose_replica(
+                self.board, request, self.pools.loads, self.clock()
+            )
             if server_id is not None:
                 return server_id
             await asyncio.sleep(REPLICA_POLL_S)
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -10,12 +10,15 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from pollencleat.core.bounds import AcknowledgedBounds
 from pollencleat.core.data import (
     Fleet,
     GroupTerm,
     Inventory,
+    Position,
     ServerStatus,
     VmList,
+    with_registered_servers,
 )
 from pollencleat.core.effects import Effect
 from pollencleat.core.index import FleetIndex, make_fleet_index
@@ -58,6 +61,8 @@
         status_sent_at_s: When the question to that answer was sent.
         fresh_as_of_s: The server has everything that its primary had at this time.
         refused_at_s: When the last connection was refused; cleared by an answer.
+        applied: Position in the newest answer to ordinary traffic, if it told one.
+        asked_at_s: When the oldest request without an answer was sent, or None.
     """
 
     status: ServerStatus | None = None
@@ -65,6 +70,8 @@
     answered_at_s: float = -1e9
     fresh_as_of_s: float = -1e9
     refused_at_s: float | None = None
+    applied: Position | None = None
+    asked_at_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -116,6 +123,9 @@
     """All state of one node's controllers.
 
     Attributes:
+        inventory: What is in force here: the declaration with registered servers.
+        declared: The newest declaration, as operators accepted it.
+        public_key: This node's own key for peer messages, or empty.
         fresh_at_s: The fleet state was the platform's newest when a read was sent at
             this local time.
         outage_limit_s: The inventory's outage limit when fresh_at_s was last moved; a
@@ -135,6 +145,7 @@
     random: random.Random
     fleet: Fleet = field(default_factory=Fleet)
     inventory: Inventory = field(default_factory=Inventory)
+    declared: Inventory = field(default_factory=Inventory)
     vms: VmList = field(default_factory=VmList)
     fresh_at_s: float = -1e9
     read_answered_at_s: float = -1e9
@@ -148,9 +159,11 @@
     domains_by_id: dict[str, DomainView] = field(default_factory=dict)
     servers_by_id: dict[str, ServerView] = field(default_factory=dict)
     primary_samples_by_group: dict[str, PrimarySamples] = field(default_factory=dict)
+    bounds_by_group: dict[str, AcknowledgedBounds] = field(default_factory=dict)
     outbox: list[Envelope] = field(default_factory=list)
     wall_clock_s: int = 0
     effects: list[Effect] = field(default_factory=list)
+    public_key: str = ""
     primary_seen_at_s: dict[str, float] = field(default_factory=dict)
     removed_seen_at_s: dict[str, float] = field(default_factory=dict)
     member_seen_at_s: dict[str, float] = field(default_factory=dict)
@@ -175,7 +188,7 @@
         Returns:
             Versions of fleet, inventory and VM list.
         """
-        return Versions(self.fleet.version, self.inventory.version, self.vms.version)
+        return Versions(self.fleet.version, self.declared.version, self.vms.version)
 
     def index(self) -> FleetIndex:
         """Return what is derived from the known fleet, computed once for each state.
@@ -256,9 +269,10 @@
         Returns:
             True if it was newer.
         """
-        if inventory.version <= self.inventory.version:
+        if inventory.version <= self.declared.version:
             return False
-        self.inventory = inventory
+        self.declared = inventory
+        self.inventory = with_registered_servers(inventory, self.vms)
         return True
 
     def adopt_vms(self, vms: VmList) -> bool:
@@ -273,4 +287,5 @@
         if vms.version <= self.vms.version:
             return False
         self.vms = vms
+        self.inventory = with_registered_servers(self.declared, vms)
         return True
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -8,7 +8,7 @@
 """
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 class Outcome(enum.StrEnum):
@@ -27,6 +27,8 @@
     Attributes:
         slots: Statements that the server executes at the same time.
         connections: Connections that the whole fleet may hold to the server.
+        born_ms: Unix milliseconds of the server's start, 0 if it is not told; a server
+            that started again under its name has lost its log.
     """
 
     server_id: str
@@ -36,16 +38,51 @@
     failure_domain: str
     slots: int
     connections: int
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class DatabaseGroup:
-    """A replicated database: one primary and its replicas."""
+    """A replicated database: one primary and its replicas.
+
+    Attributes:
+        acknowledging_replicas: Replicas that must have received a commit before it is
+            acknowledged; None if commits are acknowledged by the primary alone.
+    """
 
     group_id: str
     database: str
     customers: tuple[str, ...]
     server_ids: tuple[str, ...]
+    acknowledging_replicas: int | None = None
+
+
+class Freshness(enum.StrEnum):
+    """What the reads of a route must have seen."""
+
+    PRIMARY = "primary"
+    BOUNDED_AGE = "bounded age"
+    OWN_WRITES = "own writes"
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A database name that callers connect to, and how its statements are treated.
+
+    Attributes:
+        max_age_ms: How old a read may be; 0 if only the primary may answer.
+        statement_limit_ms: Time limit of a single statement.
+        target_latency_ms: Time within which a whole operation should be answered.
+        priority: 0 is the most urgent.
+    """
+
+    database: str
+    group_id: str
+    freshness: Freshness
+    max_age_ms: int
+    statement_limit_ms: int
+    target_latency_ms: int
+    priority: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +124,8 @@
         drain_limit_s: How long a graceful stop waits for statements in flight.
         outage_limit_s: How long writes may go on without the platform.
         queue_deadline_ms: How long a statement may wait for a connection.
+        transaction_idle_ms: An open transaction without statements for this long is
+            rolled back; 0 for no limit.
     """
 
     seats: int = 5
@@ -94,6 +133,7 @@
     drain_limit_s: int = 30
     outage_limit_s: int = 3_600
     queue_deadline_ms: int = 2_000
+    transaction_idle_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +164,8 @@
         version: Version of the platform object; 0 before the first was accepted.
         source: The INI text that the inventory was parsed from.
         audit: The change that brought this version.
+        connections_by_group: Connections to each server of a group whose servers
+            register themselves.
     """
 
     version: int = 0
@@ -135,6 +177,8 @@
     servers_by_id: dict[str, BackendServer] = field(default_factory=dict)
     read_rules_by_kind: dict[str, ReadRule] = field(default_factory=dict)
     rules: Rules = Rules()
+    routes_by_database: dict[str, Route] = field(default_factory=dict)
+    connections_by_group: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +191,8 @@
         admin_address: Host and port of the administration API.
         seat: Index of the connection share that the member owns.
         may_promote: Whether the member's promises are known to be required by all.
+        public_key: Z85 text of the member's own key for peer messages; empty where
+            the deployment shares one.
     """
 
     node_id: str
@@ -156,6 +202,7 @@
     admin_address: str
     seat: int
     may_promote: bool
+    public_key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -204,6 +251,8 @@
     Attributes:
         primary: Server that may accept writes; empty while a promotion is in progress.
         history: The newest terms, oldest first.
+        assigned_log_term: The term that the servers gave themselves when this primary
+            took office, or 0 where they take over the agreed one.
     """
 
     group_id: str
@@ -211,6 +260,17 @@
     primary: str
     promotion: Promotion | None = None
     history: tuple[TermStart, ...] = ()
+    assigned_log_term: int = 0
+
+    @property
+    def log_term(self) -> int:
+        """Term that the servers write into their log under this primary."""
+        return self.assigned_log_term or self.term
+
+    @property
+    def next_log_term(self) -> int:
+        """Term for orders to servers while the next primary is chosen."""
+        return self.assigned_log_term + 1 if self.assigned_log_term else self.term
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,11 +291,19 @@
 
 @dataclass(frozen=True, slots=True)
 class VmList:
-    """The platform's lagging list of virtual machines."""
+    """The platform's lagging list of virtual machines and of what runs on them.
+
+    Attributes:
+        live: Names of live machines; None where the platform does not list them.
+        leaving: Machines and servers that are about to end.
+        servers_by_id: Servers that registered themselves; empty where the inventory
+            declares them.
+    """
 
     version: int = 0
-    live: tuple[str, ...] = ()
+    live: tuple[str, ...] | None = ()
     leaving: tuple[str, ...] = ()
+    servers_by_id: dict[str, BackendServer] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,7 +324,9 @@
         received_position: Last log position received; applying may lag behind.
         last_entry_term: Term of the last applied log entry.
         read_only: Whether the server refuses writes.
-        following: Server id that it replicates from, or empty.
+        following: Server id that it replicates from, or empty; None if not told.
+        held_for_term: It receives nothing until a primary of this term is in office;
+            0 if it receives as usual.
     """
 
     term: int
@@ -264,4 +334,35 @@
     received_position: int
     last_entry_term: int
     read_only: bool
-    following: str
+    following: str | None
+    held_for_term: int = 0
+
+
+def with_registered_servers(inventory: Inventory, vms: VmList) -> Inventory:
+    """Add the servers that registered themselves to what operators declare.
+
+    Args:
+        inventory: The declaration.
+        vms: The list in which servers may be registered.
+
+    Returns:
+        The inventory in force; the given one where the list names no servers.
+    """
+    if not vms.servers_by_id:
+        return inventory
+    ids_by_group: dict[str, list[str]] = {}
+    servers_by_id = dict(inventory.servers_by_id)
+    for server_id, server in sorted(vms.servers_by_id.items()):
+        if server.group_id not in inventory.groups_by_id:
+            continue
+        ids_by_group.setdefault(server.group_id, []).append(server_id)
+        connections = inventory.connections_by_group.get(server.group_id, 0)
+        servers_by_id[server_id] = replace(server, connections=connections)
+    groups_by_id = {
+        group_id: replace(
+            group,
+            server_ids=(*group.server_ids, *ids_by_group.get(group_id, ())),
+        )
+        for group_id, group in inventory.groups_by_id.items()
+    }
+    return replace(inventory, servers_by_id=servers_by_id, groups_by_id=groups_by_id)
--- a/pollencleat/core/effects.py
+++ b/pollencleat/core/effects.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from pollencleat.core.data import Fleet, ServerStatus
+from pollencleat.core.data import Fleet, ServerStatus, TermStart
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,13 +46,32 @@
     server_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class HoldServer:
+    """Keep a server from receiving more and ask for its status.
+
+    Answered by ServerStatusRead.  A held server acknowledges nothing to its primary, so
+    that its position stays the last word on what it has.
+    """
+
+    attempt_id: str
+    server_id: str
+    term: int
+
+
 @dataclass(frozen=True, slots=True)
 class PromoteServer:
-    """Make a server the primary of a term; answered by ServerPromoted."""
+    """Make a server the primary of a term; answered by ServerPromoted.
+
+    Attributes:
+        fence: Grows with every attempt of the group; lets the executor of the order
+            tell an older attempt from a newer one.
+    """
 
     attempt_id: str
     server_id: str
     term: int
+    fence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +88,7 @@
     | UpdateFleet
     | FenceServer
     | ReadServerStatus
+    | HoldServer
     | PromoteServer
     | FollowPrimary
 )
@@ -106,8 +126,8 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerPromoted:
-    """The position from which a new primary accepts writes, or None."""
+    """Term and position from which a new primary accepts writes, or None."""
 
     attempt_id: str
     server_id: str
-    start_position: int | None
+    start: TermStart | None
--- a/pollencleat/core/errors.py
+++ b/pollencleat/core/errors.py
@@ -135,6 +135,25 @@
     outcome = Outcome.UNKNOWN
 
 
+class StatementTimeoutError(UnknownOutcomeError):
+    """The statement reached its time limit and may or may not have run."""
+
+    code = 3024
+
+
+class MalformedStatementError(NotRunError):
+    """The statement cannot be read, or is not possible in the session's state."""
+
+    code = 1064
+    sqlstate = "42000"
+
+
+class UnknownNameError(NotRunError):
+    """The session has no prepared statement of this name."""
+
+    code = 1243
+
+
 class RequestAlreadyDoneError(CallerError):
     """An earlier arrival of the same request id was committed; this one did not run."""
 
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -5,13 +5,13 @@
 
 import structlog
 
-from pollencleat.callers.gateway import Gateway
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.effects import (
     Effect,
     FenceServer,
     FleetUpdated,
     FollowPrimary,
+    HoldServer,
     PromoteServer,
     ReadPlatform,
     ReadServerStatus,
@@ -26,16 +26,9 @@
     StoreConflictError,
     StoreUnavailableError,
 )
+from pollencleat.core.ports import PlatformStore, ServerOrders
 from pollencleat.membership.beats import BeatController
 from pollencleat.reports.metrics import Metrics
-from pollencleat.store.client import StoreClient
-from pollencleat.store.objects import (
-    FLEET_NAME,
-    encode_fleet,
-    read_fleet,
-    read_inventory,
-    read_vm_list,
-)
 
 READS_IN_FLIGHT = 4
 """Platform reads that may be under way at the same time on a slow platform."""
@@ -69,8 +62,8 @@
         board: Blackboard,
         beats: BeatController,
         deliver: Callable[[object], None],
-        store: StoreClient,
-        gateway: Gateway,
+        store: PlatformStore,
+        orders: ServerOrders,
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -79,7 +72,7 @@
         self._beats = beats
         self._deliver = deliver
         self._store = store
-        self._gateway = gateway
+        self._orders = orders
         self._metrics = metrics
         self._clock = clock
         self._reads_in_flight = 0
@@ -104,7 +97,7 @@
             await runner(self, effect)
         except PollencleatError as error:
             self._metrics.count("effect_failed", type(effect).__name__)
-            log.debug("effect failed", effect=type(effect).__name__, error=str(error))
+            log.info("effect failed", effect=type(effect).__name__, error=str(error))
 
     def close(self) -> None:
         """Cancel everything under way."""
@@ -129,12 +122,10 @@
     async def _read_objects(self) -> None:
         board = self._board
         sent_at_s = self._clock()
-        fleet, inventory, vms = await asyncio.gather(
-            read_fleet(self._store, board.fleet),
-            read_inventory(self._store, board.inventory),
-            read_vm_list(self._store, board.vms),
+        state = await self._store.read_state(board)
+        self._beats.on_platform_read(
+            sent_at_s, self._clock(), state.fleet, state.inventory, state.vms
         )
-        self._beats.on_platform_read(sent_at_s, self._clock(), fleet, inventory, vms)
 
     def _note_platform(self, answers: bool, reason: str) -> None:
         self._metrics.count("platform_read", "ok" if answers else "failed")
@@ -146,13 +137,14 @@
     @carries_out(UpdateFleet)
     async def _update_fleet(self, effect: UpdateFleet) -> None:
         try:
-            version = await self._store.update_object(
-                FLEET_NAME, effect.expected_version, encode_fleet(effect.fleet)
+            version = await self._store.update_fleet(
+                effect.expected_version, effect.fleet
             )
         except StoreConflictError:
             version = 0
-        except PollencleatError:
+        except PollencleatError as error:
             version = None
+            log.info("fleet update unsettled", cause=effect.cause, error=str(error))
         self._metrics.count("fleet_update", _update_result(version))
         if version:
             log.info("fleet changed", version=version, cause=effect.cause)
@@ -168,46 +160,33 @@
 
     @carries_out(FenceServer)
     async def _fence(self, effect: FenceServer) -> None:
-        status = None
-        monitor = self._gateway.monitors_by_server.get(effect.server_id)
-        if monitor is not None:
-            try:
-                status = await monitor.fence(effect.term)
-            except BackendError:
-                self._metrics.count("fence_failed", effect.server_id)
+        status = await self._try(
+            self._orders.fence(effect.server_id, effect.term), effect
+        )
         self._deliver(ServerFenced(effect.attempt_id, effect.server_id, status))
 
     @carries_out(ReadServerStatus)
     async def _read_status(self, effect: ReadServerStatus) -> None:
-        status = None
-        monitor = self._gateway.monitors_by_server.get(effect.server_id)
-        if monitor is not None:
-            try:
-                status = await monitor.read_status()
-            except BackendError:
-                self._metrics.count("status_failed", effect.server_id)
+        status = await self._try(self._orders.read_status(effect.server_id), effect)
+        self._deliver(ServerStatusRead(effect.attempt_id, effect.server_id, status))
+
+    @carries_out(HoldServer)
+    async def _hold(self, effect: HoldServer) -> None:
+        status = await self._try(
+            self._orders.hold(effect.server_id, effect.term), effect
+        )
         self._deliver(ServerStatusRead(effect.attempt_id, effect.server_id, status))
 
     @carries_out(PromoteServer)
     async def _promote(self, effect: PromoteServer) -> None:
-        start_position = None
-        monitor = self._gateway.monitors_by_server.get(effect.server_id)
-        if monitor is not None:
-            try:
-                start_position = await monitor.promote(effect.term)
-            except BackendError:
-                self._metrics.count("promote_failed", effect.server_id)
-        self._deliver(
-            ServerPromoted(effect.attempt_id, effect.server_id, start_position)
+        start = await self._try(
+            self._orders.promote(effect.server_id, effect.term, effect.fence), effect
         )
+        self._deliver(ServerPromoted(effect.attempt_id, effect.server_id, start))
 
     @carries_out(FollowPrimary)
     async def _follow(self, effect: FollowPrimary) -> None:
-        primary = self._board.inventory.servers_by_id.get(effect.primary_id)
-        monitor = self._gateway.monitors_by_server.get(effect.server_id)
-        if primary is None or monitor is None:
-            return
-        await monitor.follow(primary, effect.term)
+        await self._orders.follow(effect.server_id, effect.primary_id, effect.term)
         log.info(
             "replica ordered",
             server=effect.server_id,
@@ -215,6 +194,29 @@
             term=effect.term,
         )
 
+    async def _try(self, order: Awaitable, effect: Effect) -> object | None:
+        """Wait for an order's answer; None if the server did not carry it out."""
+        try:
+            answer = await order
+        except BackendError as error:
+            self._metrics.count("order_failed", type(effect).__name__)
+            log.info(
+                "order failed",
+                order=type(effect).__name__,
+                server=effect.server_id,
+                attempt=effect.attempt_id,
+                error=str(error),
+            )
+            return None
+        log.info(
+            "order answered",
+            order=type(effect).__name__,
+            server=effect.server_id,
+            attempt=effect.attempt_id,
+            answer=str(answer),
+        )
+        return answer
+
 
 def _update_result(version: int | None) -> str:
     if version is None:
--- a/pollencleat/daemon/application.py
+++ b/pollencleat/daemon/application.py
@@ -1,73 +1,47 @@
 """The application object: owns every part and cleans up."""
 
-import asyncio
-import random
-import secrets
 import ssl
 import time
-from collections.abc import Awaitable, Callable
 
 import structlog
 
 from pollencleat.administration.server import AdminServer
+from pollencleat.backend.orders import MonitorOrders
 from pollencleat.callers.gateway import Gateway
 from pollencleat.callers.identity import CallerIdentityProvider
 from pollencleat.callers.server import CallerServer
-from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import SAMPLE_S
-from pollencleat.core.timers import TimerService, read_boottime_s
-from pollencleat.daemon.adapters import EffectRunner
-from pollencleat.daemon.node import Node
+from pollencleat.core.timers import read_boottime_s
+from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.daemon.settings import Settings
 from pollencleat.journal.pruning import JournalPruner
-from pollencleat.peers.transport import PeerTransport
-from pollencleat.reports.changes import ChangeLog
 from pollencleat.reports.gauges import add_gauges
-from pollencleat.reports.metrics import Metrics
 from pollencleat.store.client import StoreClient
+from pollencleat.store.objects import ObjectStore
 
 FOLLOW_S = 0.05
 RESIGN_LIMIT_S = 3.0
-RESIGN_POLL_S = 0.02
 CLOSE_UNUSED_S = 10.0
 log = structlog.get_logger()
 
 
-class Application:
+class Application(NodeRuntime):
     """One entry VM's process."""
 
     def __init__(self, settings: Settings) -> None:
         """Create all parts; start connects them to the network."""
-        self.settings = settings
-        self.timers = TimerService(read_boottime_s)
-        self.metrics = Metrics(settings.node_id)
-        self.board = Blackboard(
-            settings.node_id,
-            secrets.token_hex(8),
-            settings.failure_domain,
-            "",
-            "",
-            random.Random(secrets.randbits(64)),
+        super().__init__(
+            settings.node_id, settings.failure_domain, settings.seeds_by_id
         )
+        self.settings = settings
         self.store = StoreClient(settings.platform_url, settings.platform_token)
         self.gateway = Gateway(
             self.board, settings.backend, self.metrics, read_boottime_s
         )
-        self.node = Node(self.board, self.timers, tuple(settings.seeds_by_id))
-        self.effects = EffectRunner(
-            self.board,
-            self.node.beats,
-            self.deliver,
-            self.store,
-            self.gateway,
-            self.metrics,
-            read_boottime_s,
-        )
-        self.transport = PeerTransport(
+        self.connect(
+            ObjectStore(self.store),
+            MonitorOrders(self.board, self.gateway.monitors_by_server),
             settings.curve_keys,
-            self.deliver,
-            read_boottime_s,
-            lambda: self.metrics.count("peer_message_malformed"),
         )
         self.callers = CallerServer(
             self.gateway,
@@ -76,32 +50,21 @@
         )
         self.admin = AdminServer(self)
         self.pruner = JournalPruner(self.gateway)
-        self.changes = ChangeLog(self.board)
         self.callers_port = 0
-        self._tasks: list[asyncio.Task] = []
-        self._on_stop: list[Callable[[], Awaitable[None]]] = []
-
-    async def wait_for_failure(self) -> None:
-        """Wait until a controller fails, which ends the process.
-
-        Raises:
-            Exception: The failure; a node that cannot decide must not go on.
-        """
-        await self._tasks[0]
 
     async def start(self) -> None:
         """Listen, and begin to join the fleet."""
         settings = self.settings
         peers = settings.peers
         endpoint = self.transport.start(f"tcp://{peers.host}:{peers.port}")
-        self._on_stop.append(self._stop_transport)
+        self.on_stop.append(self._stop_transport)
         self.board.address = settings.advertise_peers or endpoint
         await self.admin.start(settings.admin.host, settings.admin.port)
-        self._on_stop.append(self.admin.stop)
+        self.on_stop.append(self.admin.stop)
         self.board.admin_address = self.admin.address
         self._subscribe()
         add_gauges(self)
-        self._tasks.append(asyncio.create_task(self.timers.run_forever(self.dispatch)))
+        self.start_controllers()
         self.callers_port = await self.callers.start(
             settings.callers.host, settings.callers.port
         )
@@ -125,34 +88,6 @@
         self.gateway.follow_board()
         self.changes.tick(read_boottime_s())
 
-    def deliver(self, event: object) -> None:
-        """Hand a peer message or the result of an effect to the controllers.
-
-        Args:
-            event: The message or result.
-        """
-        self.node.handle(event)
-        self.dispatch()
-
-    def dispatch(self) -> None:
-        """Carry out what the controllers want."""
-        board = self.board
-        while board.effects:
-            effects, board.effects = board.effects, []
-            for effect in effects:
-                self.effects.run(effect)
-        envelopes, board.outbox = board.outbox, []
-        for envelope in envelopes:
-            address = self._address_of(envelope.to_node)
-            if address:
-                self.transport.send(address, envelope.message)
-
-    def _address_of(self, node_id: str) -> str:
-        member = self.board.fleet.members_by_id.get(node_id)
-        if member is not None:
-            return member.address
-        return self.settings.seeds_by_id.get(node_id, "")
-
     async def stop(self) -> None:
         """Drain, resign and close; nothing in flight is cut off within the limit."""
         log.info("draining", node=self.settings.node_id)
@@ -163,22 +98,12 @@
             self.metrics.count("drain_cut_off")
             log.warning("drain limit reached", limit_s=limit_s)
         self.gateway.close()
-        self.board.resigning = True
-        await self._wait_for_resignation()
-        for task in self._tasks:
-            task.cancel()
-        self.effects.close()
-        for hook in reversed(self._on_stop):
-            await hook()
+        await self.resign(RESIGN_LIMIT_S)
+        await self.close_runtime()
         await self.store.close()
         self.metrics.close()
         log.info("stopped", node=self.settings.node_id)
 
-    async def _wait_for_resignation(self) -> None:
-        deadline_s = read_boottime_s() + RESIGN_LIMIT_S
-        while self.board.is_member() and read_boottime_s() < deadline_s:
-            await asyncio.sleep(RESIGN_POLL_S)
-
     async def _stop_transport(self) -> None:
         self.transport.close()
 
--- a/pollencleat/daemon/main.py
+++ b/pollencleat/daemon/main.py
@@ -5,14 +5,15 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Protocol
 
 import click
 import structlog
 import uvloop
 
 from pollencleat.core.errors import SettingsError
-from pollencleat.daemon.application import Application
-from pollencleat.daemon.settings import Settings, load_settings
+from pollencleat.core.timers import read_boottime_s
+from pollencleat.reports.logs import configure_output_logging
 
 SETTINGS_EXIT_CODE = 2
 
@@ -21,19 +22,54 @@
 @click.option(
     "--settings",
     "settings_path",
-    required=True,
     type=click.Path(path_type=Path),
     help="INI file with the process settings.",
 )
-def main(settings_path: Path) -> None:
+@click.option(
+    "--on-platform",
+    is_flag=True,
+    help="Run on the users' platform, with the settings file that it names.",
+)
+def main(settings_path: Path | None, on_platform: bool) -> None:
     """Run an entry VM until SIGTERM or SIGINT."""
+    if on_platform:
+        run_on_platform()
+        return
+    if settings_path is None:
+        raise click.UsageError("give --settings or --on-platform")
+    # The database protocol's libraries are loaded only where they are used.
+    from pollencleat.daemon.application import Application
+    from pollencleat.daemon.settings import load_settings
+
     try:
         settings = load_settings(settings_path)
     except SettingsError as error:
         click.echo(str(error), err=True)
         sys.exit(SETTINGS_EXIT_CODE)
     configure_logging(settings.log_level)
-    uvloop.run(run_until_signal(settings))
+    uvloop.run(run_until_signal(Application(settings)))
+
+
+def run_on_platform() -> None:
+    """Run on the users' platform; settings problems end the process with a code."""
+    from pollencleat.platform.application import (
+        PlatformApplication,
+        load_settings_of_environment,
+    )
+
+    output = configure_output_logging(sys.stdout.fileno(), read_boottime_s)
+    try:
+        settings = load_settings_of_environment()
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(SETTINGS_EXIT_CODE)
+
+    async def run() -> None:
+        application = PlatformApplication(settings, output)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, application.reload)
+        await run_until_signal(application)
+
+    uvloop.run(run())
 
 
 def configure_logging(level: str) -> None:
@@ -57,17 +93,29 @@
     logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
 
 
-async def run_until_signal(settings: Settings) -> None:
+class Runnable(Protocol):
+    """An application with the life cycle of a daemon."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """Drain and end."""
+
+    async def wait_for_failure(self) -> None:
+        """Wait until a part fails that the daemon cannot do without."""
+
+
+async def run_until_signal(application: Runnable) -> None:
     """Run the application until it is asked to stop.
 
     Args:
-        settings: Checked settings.
+        application: With settings that were checked.
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    application = Application(settings)
     await application.start()
     stopping = asyncio.create_task(stop.wait())
     failing = asyncio.create_task(application.wait_for_failure())
--- /dev/null
+++ b/pollencleat/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions and statements, whatever protocol callers and servers speak."""
--- /dev/null
+++ b/pollencleat/engine/access.py
@@ -0,0 +1,199 @@
+"""What sessions need from the node: routes, pools, permits and what answers tell."""
+
+from collections.abc import Callable
+
+from pollencleat.backend.pool import ANY_TERM, Lease, ServerPool
+from pollencleat.backend.pools import ServerPools
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import AcknowledgedBounds
+from pollencleat.core.data import BackendServer, GroupTerm, Position, Route
+from pollencleat.core.errors import (
+    DrainingError,
+    UnknownDatabaseError,
+    WritesUnavailableError,
+)
+from pollencleat.engine.statements import ServerReply
+from pollencleat.membership.permits import holds_write_permit, writable_term
+from pollencleat.reports.metrics import Metrics
+from pollencleat.routing.placement import Target
+
+RETRY_AFTER_MS = 200
+"""When a caller may ask again while a primary is being replaced; a change of primary
+takes a few of these."""
+
+WAITING_STATEMENTS_LIMIT = 512
+"""Statements of one client account that may wait for one server on this node."""
+
+QUEUE_SHARE_OF_TARGET = 0.5
+"""Share of the target latency that a statement may spend waiting for a connection."""
+
+
+class ServerAccess:
+    """The node's servers as sessions see them."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        make_pool: Callable[[BackendServer], ServerPool],
+    ) -> None:
+        """Work on a blackboard; pools follow it."""
+        self.board = board
+        self.metrics = metrics
+        self.clock = clock
+        self.pools = ServerPools(board, clock, make_pool)
+        self.doubted_servers: set[str] = set()
+
+    def route_of(self, database: str) -> Route:
+        """Return the declared route of a database name.
+
+        Args:
+            database: As the caller gave it.
+
+        Returns:
+            The route in force now.
+
+        Raises:
+            UnknownDatabaseError: No route has this name.
+        """
+        route = self.board.inventory.routes_by_database.get(database)
+        if route is None:
+            raise UnknownDatabaseError(f"unknown database {database!r}")
+        return route
+
+    def require_accepting(self) -> None:
+        """Check that this node takes new work.
+
+        Raises:
+            DrainingError: The process is about to end.
+        """
+        if self.board.draining:
+            raise DrainingError(f"node {self.board.node_id} is stopping", 0)
+
+    def require_writable(self, group_id: str) -> GroupTerm:
+        """Return the term under which writes may be sent now.
+
+        Args:
+            group_id: The group.
+
+        Returns:
+            The term.
+
+        Raises:
+            WritesUnavailableError: No permit, no primary, or an unknown server.
+        """
+        term = writable_term(self.board, group_id, self.clock())
+        if term is not None and term.primary in self.pools.pools_by_server:
+            return term
+        raise WritesUnavailableError(self.why_not_writable(group_id), RETRY_AFTER_MS)
+
+    def why_not_writable(self, group_id: str) -> str:
+        """Return why no primary can be used, for logs and answers.
+
+        Args:
+            group_id: The group.
+
+        Returns:
+            A short text.
+        """
+        term = self.board.group_term(group_id)
+        if term is None:
+            return f"group {group_id} has no primary yet"
+        if not term.primary:
+            return f"group {group_id}: a primary is being promoted"
+        if not holds_write_permit(self.board, self.clock()):
+            return f"group {group_id}: this node holds no write permit"
+        return f"group {group_id}: primary {term.primary} is not registered"
+
+    def is_still_writable(self, term: GroupTerm) -> bool:
+        """Return whether an answer under a term may still be acknowledged.
+
+        Args:
+            term: The term under which the statement was sent.
+
+        Returns:
+            True if the permit is valid and names the same term.
+        """
+        current = writable_term(self.board, term.group_id, self.clock())
+        return current is not None and current.term == term.term
+
+    async def borrow(self, target: Target, route: Route, account: str) -> Lease:
+        """Lend a connection to a chosen server.
+
+        Args:
+            target: The server.
+            route: Tells how long the statement may wait.
+            account: Client account that takes the turn.
+
+        Returns:
+            A lease.
+
+        Raises:
+            OverloadedError: The wait would be too long.
+            BackendUnreachableError: No connection could be opened.
+        """
+        pool = self.pools.pools_by_server[target.server_id]
+        wait_s = route.target_latency_ms / 1000 * QUEUE_SHARE_OF_TARGET
+        term = target.term.term if target.term is not None else ANY_TERM
+        return await pool.borrow(
+            account, WAITING_STATEMENTS_LIMIT, self.clock() + wait_s, term
+        )
+
+    # What answers tell.
+
+    def note_sent(self, server_id: str) -> float:
+        """Note that a request was sent to a server.
+
+        Args:
+            server_id: The server.
+
+        Returns:
+            The local time.
+        """
+        now_s = self.clock()
+        view = self.board.server(server_id)
+        if view.asked_at_s is None or view.answered_at_s >= view.asked_at_s:
+            view.asked_at_s = now_s
+        return now_s
+
+    def note_answered(
+        self, server_id: str, reply: ServerReply, sent_at_s: float, group_id: str
+    ) -> None:
+        """Take in what an answer tells of a server's log.
+
+        Args:
+            server_id: Who answered.
+            reply: The answer.
+            sent_at_s: When the request was sent.
+            group_id: The server's group.
+        """
+        now_s = self.clock()
+        view = self.board.server(server_id)
+        view.answered_at_s = now_s
+        view.refused_at_s = None
+        view.applied = reply.position or view.applied
+        if reply.position is not None:
+            self._note_bound(server_id, reply.position, sent_at_s, group_id)
+
+    def _note_bound(
+        self, server_id: str, position: Position, sent_at_s: float, group_id: str
+    ) -> None:
+        """Keep the position if it is that of a primary that nobody has replaced."""
+        term = writable_term(self.board, group_id, self.clock())
+        if term is None or term.primary != server_id:
+            return
+        bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
+        bounds.add(term.term, sent_at_s, position)
+
+    def note_doubt(self, server_id: str) -> None:
+        """Have a server asked for its status soon, since it answered unexpectedly.
+
+        Args:
+            server_id: The server.
+        """
+        self.doubted_servers.add(server_id)
+
+    def close(self) -> None:
+        """Close all connections to servers."""
+        self.pools.close()
--- a/pollencleat/journal/pruning.py
+++ b/pollencleat/journal/pruning.py
@@ -28,7 +28,7 @@
             if now_s - last_s < PRUNE_EVERY_S or not self._is_responsible(group_id):
                 continue
             self._pruned_at_s[group_id] = now_s
-            gateway.start(self._prune(group_id))
+            gateway.pools.start(self._prune(group_id))
 
     def _is_responsible(self, group_id: str) -> bool:
         board = self._gateway.board
--- a/pollencleat/limits/queue.py
+++ b/pollencleat/limits/queue.py
@@ -57,6 +57,10 @@
         """
         return (self.in_use + self.waiting) / max(1, self.capacity)
 
+    def outstanding(self) -> int:
+        """Return the statements in use and waiting."""
+        return self.in_use + self.waiting
+
     def expected_wait_s(self, customer_id: str) -> float:
         """Return how long a new ticket of a customer would wait.
 
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -134,7 +134,7 @@
             State(
                 board.node_id,
                 board.fleet if mine.fleet > known.fleet else None,
-                board.inventory if mine.inventory > known.inventory else None,
+                board.declared if mine.inventory > known.inventory else None,
                 board.vms if mine.vms > known.vms else None,
             ),
         )
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -155,7 +155,7 @@
 
 
 def with_primary_published(
-    fleet: Fleet, group_id: str, server_id: str, start_position: int
+    fleet: Fleet, group_id: str, server_id: str, start: TermStart
 ) -> Fleet:
     """End a promotion.
 
@@ -163,15 +163,19 @@
         fleet: A state in which the promotion is in progress.
         group_id: The group.
         server_id: The new primary.
-        start_position: Its log position when it began to accept writes.
+        start: The term of its log, and its position when it began to accept writes.
 
     Returns:
         The changed state.
     """
     current = fleet.terms_by_group[group_id]
-    history = (*current.history, TermStart(current.term, start_position))
+    history = (*current.history, start)
     published = replace(
-        current, primary=server_id, promotion=None, history=history[-HISTORY_KEPT:]
+        current,
+        primary=server_id,
+        promotion=None,
+        history=history[-HISTORY_KEPT:],
+        assigned_log_term=0 if start.term == current.term else start.term,
     )
     terms = {**fleet.terms_by_group, group_id: published}
     return replace(fleet, terms_by_group=terms)
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -113,6 +113,7 @@
             board.admin_address,
             NO_SEAT,
             False,
+            board.public_key,
         )
         return with_member(board.fleet, member, board.inventory.rules.seats)
 
@@ -144,7 +145,7 @@
         if not board.vms.version:
             return None
         for member in board.fleet.members_by_id.values():
-            if member.node_id in board.vms.live or member.node_id == board.node_id:
+            if self._is_listed(member.node_id) or member.node_id == board.node_id:
                 continue
             if not self._is_silent(member, now_s):
                 continue
@@ -167,10 +168,22 @@
             return relay.node_id
         others = list(self.board.fleet.members_by_id.values())
         for candidate in rank_members("evict", others):
-            if candidate.node_id in self.board.vms.live:
+            if self._is_listed(candidate.node_id):
+                return candidate.node_id
+            if self.board.vms.live is None and self._was_heard(candidate, now_s):
                 return candidate.node_id
         return None
 
+    def _is_listed(self, node_id: str) -> bool:
+        live = self.board.vms.live
+        return live is not None and node_id in live
+
+    def _was_heard(self, member: Member, now_s: float) -> bool:
+        if member.node_id == self.board.node_id:
+            return True
+        peer = self.board.peers_by_id.get(member.node_id)
+        return peer is not None and now_s - peer.heard_at_s < EVICT_AFTER_S
+
     def _seat(self) -> tuple[Fleet, str] | None:
         board = self.board
         fleet = with_free_seats_taken(board.fleet, board.inventory.rules.seats)
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -1,8 +1,10 @@
 """Sends and receives peer messages, encrypted and authenticated.
 
-All entry VMs of a deployment share one CURVE key pair from their settings.  A server
-accepts only clients that prove to hold it, so that nobody else can forge a heartbeat
-or a promise.  Messages may be lost at any time; nothing depends on their arrival.
+Either all entry VMs of a deployment share one CURVE key pair from their settings, or
+each makes its own at start and registers the public half in the fleet state.  A server
+accepts only clients that prove to hold a known key, so that nobody else can forge a
+heartbeat or a promise.  Messages may be lost at any time; nothing depends on their
+arrival.
 """
 
 import asyncio
@@ -24,6 +26,13 @@
 HANDSHAKE_LIMIT_MS = 3_000
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 ZAP_DOMAIN = b"pollencleat"
+ZAP_DENIED = b"400"
+ZAP_TRY_AGAIN = b"300"
+UNACKNOWLEDGED_LIMIT_MS = 2_000
+"""Unacknowledged data closes a connection to a peer after this time."""
+
+HEARTBEAT_MS = 500
+"""Interval of the transport's own heartbeats; they find silent connections."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +43,18 @@
     secret: bytes
 
 
-class OneKeyProvider:
-    """Accepts exactly one client key."""
+def make_curve_keys() -> CurveKeys:
+    """Return a new key pair of this process."""
+    public, secret = zmq.curve_keypair()
+    return CurveKeys(public, secret)
+
 
-    def __init__(self, public: bytes) -> None:
-        """Accept the given Z85 key."""
-        self._public = public
+class KnownKeyProvider:
+    """Accepts the client keys that a function knows."""
+
+    def __init__(self, is_known: Callable[[bytes], bool]) -> None:
+        """Ask a function about Z85 keys."""
+        self._is_known = is_known
 
     def callback(self, domain: str, key: bytes) -> bool:
         """Return whether a client may connect.
@@ -49,15 +64,30 @@
             key: The client's Z85 key.
 
         Returns:
-            True for the deployment's key.
+            True for a known key.
         """
-        return key == self._public
+        return self._is_known(key)
+
+
+class RetryingAuthenticator(AsyncioAuthenticator):
+    """Asks refused clients to try again: a newcomer's key is known a little later."""
+
+    def _send_zap_reply(
+        self,
+        request_id: bytes,
+        status_code: bytes,
+        status_text: bytes,
+        user_id: str = "anonymous",
+    ) -> None:
+        if status_code == ZAP_DENIED:
+            status_code = ZAP_TRY_AGAIN
+        super()._send_zap_reply(request_id, status_code, status_text, user_id)
 
 
 @dataclass(eq=False, slots=True)
 class _Outgoing:
     socket: zmq.Socket
-    address: str
+    server_key: bytes
     used_at_s: float
 
 
@@ -70,9 +100,14 @@
         on_message: Callable[[PeerMessage], None],
         clock: Callable[[], float],
         on_malformed: Callable[[], None],
+        is_known_key: Callable[[bytes], bool] | None = None,
     ) -> None:
-        """Deliver each message to a callback."""
+        """Deliver each message to a callback.
+
+        Without is_known_key, the own key pair is the deployment's and the only one.
+        """
         self._keys = keys
+        self._is_known_key = is_known_key or keys.public.__eq__
         self._on_message = on_message
         self._on_malformed = on_malformed
         self._clock = clock
@@ -94,11 +129,11 @@
         Returns:
             The endpoint with its port.
         """
-        self._authenticator = AsyncioAuthenticator(self._context)
+        self._authenticator = RetryingAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             domain=ZAP_DOMAIN.decode(),
-            credentials_provider=OneKeyProvider(self._keys.public),
+            credentials_provider=KnownKeyProvider(self._is_known_key),
         )
         listener = self._context.socket(zmq.PULL)
         listener.linger = 0
@@ -108,6 +143,7 @@
         listener.zap_domain = ZAP_DOMAIN
         listener.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         listener.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_LIMIT_MS)
+        _set_liveness(listener)
         listener.bind(endpoint)
         self._listener = listener
         self._task = asyncio.get_running_loop().create_task(self._receive())
@@ -124,16 +160,21 @@
                 continue
             self._on_message(message)
 
-    def send(self, address: str, message: PeerMessage) -> None:
+    def send(self, address: str, message: PeerMessage, key: str = "") -> None:
         """Send a message, or drop it if the peer does not take any.
 
         Args:
             address: The peer's endpoint.
             message: What to send.
+            key: The peer's own Z85 key; empty for the deployment's.
         """
+        server_key = key.encode() or self._keys.public
         outgoing = self._outgoing_by_address.get(address)
+        if outgoing is not None and outgoing.server_key != server_key:
+            outgoing.socket.close()
+            outgoing = None
         if outgoing is None:
-            outgoing = self._connect(address)
+            outgoing = self._connect(address, server_key)
         outgoing.used_at_s = self._clock()
         payload = encode_message(message)
         try:
@@ -143,17 +184,18 @@
         self.bytes_sent += len(payload)
         self.messages_sent += 1
 
-    def _connect(self, address: str) -> _Outgoing:
+    def _connect(self, address: str, server_key: bytes) -> _Outgoing:
         socket = zmq.Context(self._context).socket(zmq.PUSH)
         socket.linger = 0
         socket.curve_publickey = self._keys.public
         socket.curve_secretkey = self._keys.secret
-        socket.curve_serverkey = self._keys.public
+        socket.curve_serverkey = server_key
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        _set_liveness(socket)
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
         socket.connect(address)
-        outgoing = _Outgoing(socket, address, self._clock())
+        outgoing = _Outgoing(socket, server_key, self._clock())
         self._outgoing_by_address[address] = outgoing
         return outgoing
 
@@ -176,3 +218,10 @@
         if self._authenticator is not None:
             self._authenticator.stop()
         self._context.destroy(linger=0)
+
+
+def _set_liveness(socket: zmq.Socket) -> None:
+    """Have silent connections found and opened again."""
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_LIMIT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, 3 * HEARTBEAT_MS)
--- /dev/null
+++ b/pollencleat/platform/application.py
@@ -0,0 +1,197 @@
+"""The application object on the users' platform: owns every part and cleans up."""
+
+import asyncio
+import os
+import time
+from pathlib import Path
+
+import structlog
+
+from pollencleat.backend.liveness import LivenessController
+from pollencleat.backend.pool import ServerPool
+from pollencleat.core.data import BackendServer
+from pollencleat.core.errors import SettingsError
+from pollencleat.core.timers import read_boottime_s
+from pollencleat.daemon.readiness import is_ready
+from pollencleat.daemon.runtime import NodeRuntime
+from pollencleat.engine.access import ServerAccess
+from pollencleat.membership.directory import ServerDirectory
+from pollencleat.peers.transport import make_curve_keys
+from pollencleat.platform.clients import ClientListener
+from pollencleat.platform.endpoints import HttpEndpoints
+from pollencleat.platform.objects import ObjectClient
+from pollencleat.platform.orders import PlatformOrders
+from pollencleat.platform.servers import open_server_connection
+from pollencleat.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    load_platform_settings,
+)
+from pollencleat.platform.store import (
+    FleetObjectStore,
+    make_inventory_watcher,
+    make_servers_watcher,
+)
+from pollencleat.reports.logs import BoundedOutput
+
+FOLLOW_S = 0.05
+"""Seconds between two looks at what changed on the blackboard."""
+
+LIVENESS_TICK_S = 0.05
+"""Seconds between two looks at which servers are quiet."""
+
+IDLE_CHECK_S = 0.25
+"""Seconds between two looks for idle transactions."""
+
+CLOSE_UNUSED_S = 10.0
+"""Seconds between two looks for unused connections to peers."""
+
+UNREADY_S = 2.2
+"""Time after which the platform has asked twice, once a second, and sends no more new
+connections."""
+
+STOP_RESERVE_S = 1.2
+"""Kept back from the grace period for resigning and closing."""
+
+RESIGN_LIMIT_S = 0.7
+"""How long a stopping node waits for its resignation to be accepted."""
+
+log = structlog.get_logger()
+
+
+class PlatformApplication(NodeRuntime):
+    """One entry VM's process on the users' platform."""
+
+    def __init__(self, settings: PlatformSettings, output: BoundedOutput) -> None:
+        """Create all parts; start connects them to the network."""
+        super().__init__(settings.node_id, settings.failure_domain, {})
+        self.settings = settings
+        self._output = output
+        self.client = ObjectClient(settings.store)
+        self.orders = PlatformOrders(self.board, settings.promotion)
+        self.access = ServerAccess(
+            self.board, self.metrics, read_boottime_s, self._make_pool
+        )
+        keys = make_curve_keys()
+        self.board.public_key = keys.public.decode()
+        self.connect(
+            FleetObjectStore(self.client), self.orders, keys, self._is_known_key
+        )
+        self.directory = ServerDirectory(self.board, read_boottime_s)
+        self.liveness = LivenessController(
+            self.board, self.orders, self.access.doubted_servers, read_boottime_s
+        )
+        self.listener = ClientListener(self.access)
+        self.endpoints = HttpEndpoints()
+        self._idle_check: asyncio.Task | None = None
+        self._was_ready = False
+
+    def _make_pool(self, server: BackendServer) -> ServerPool:
+        return ServerPool(
+            server, lambda: open_server_connection(server), read_boottime_s
+        )
+
+    def _is_known_key(self, key: bytes) -> bool:
+        text = key.decode()
+        members = self.board.fleet.members_by_id.values()
+        return any(member.public_key == text for member in members)
+
+    async def start(self) -> None:
+        """Listen, and begin to join the fleet."""
+        settings = self.settings
+        endpoint = f"tcp://{settings.host}:{settings.peers_port}"
+        self.board.address = self.transport.start(endpoint)
+        self.on_stop.append(self._stop_transport)
+        await self.endpoints.serve_readiness(
+            settings.readiness.host, settings.readiness.port, self._is_ready
+        )
+        await self.endpoints.serve_metrics(
+            settings.host, settings.admin_port, self.metrics
+        )
+        self.on_stop.append(self.endpoints.close)
+        await self.listener.start(settings.callers.host, settings.callers.port)
+        self._subscribe()
+        self.start_controllers()
+        for watcher in (
+            make_inventory_watcher(self.client, self.board),
+            make_servers_watcher(self.client, self.directory),
+        ):
+            self.tasks.append(asyncio.create_task(watcher.run()))
+        log.info(
+            "started",
+            node=settings.node_id,
+            incarnation=self.board.incarnation,
+            failure_domain=settings.failure_domain,
+            callers=str(settings.callers),
+            peers=self.board.address,
+        )
+
+    def _subscribe(self) -> None:
+        self.timers.subscribe(FOLLOW_S, self._follow_board)
+        self.timers.subscribe(LIVENESS_TICK_S, self.liveness.tick)
+        self.timers.subscribe(IDLE_CHECK_S, self._check_idle)
+        self.timers.subscribe(CLOSE_UNUSED_S, self.transport.close_unused)
+
+    def _follow_board(self) -> None:
+        self.board.wall_clock_s = int(time.time())
+        self.access.pools.follow_board()
+        self.changes.tick(read_boottime_s())
+        ready = self._is_ready()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            log.info("readiness", ready=ready, node=self.settings.node_id)
+        self._output.flush()
+
+    def _check_idle(self) -> None:
+        if self._idle_check is None or self._idle_check.done():
+            self._idle_check = asyncio.get_running_loop().create_task(
+                self.listener.end_idle_transactions()
+            )
+
+    def _is_ready(self) -> bool:
+        return is_ready(self.board, read_boottime_s())
+
+    def reload(self) -> None:
+        """Read the settings file again; addresses of this process stay as they are."""
+        try:
+            settings = load_settings_of_environment()
+        except SettingsError as error:
+            log.warning("reload refused", reason=str(error))
+            return
+        log.info("reload", changed=settings != self.settings)
+        self.settings = settings
+
+    async def stop(self) -> None:
+        """Drain, resign and close within the grace period."""
+        started_s = read_boottime_s()
+        log.info("draining", node=self.settings.node_id)
+        self.board.draining = True
+        ends_s = started_s + self.settings.grace_s - STOP_RESERVE_S
+        await asyncio.sleep(UNREADY_S)
+        is_clean = await self.listener.drain(ends_s - read_boottime_s())
+        if not is_clean:
+            log.warning("drain limit reached", limit_s=self.settings.grace_s)
+        self.liveness.close()
+        self.access.close()
+        await self.resign(RESIGN_LIMIT_S)
+        await self.close_runtime()
+        await self.orders.close()
+        await self.client.close()
+        self.metrics.close()
+        log.info("stopped", node=self.settings.node_id, clean=is_clean)
+        self._output.flush()
+
+    async def _stop_transport(self) -> None:
+        self.transport.close()
+
+
+def load_settings_of_environment() -> PlatformSettings:
+    """Return the settings of the file that the platform names.
+
+    Returns:
+        Checked settings.
+
+    Raises:
+        SettingsError: No file is named, or it is unusable.
+    """
+    return load_platform_settings(Path(os.environ.get(SETTINGS_VARIABLE, "")))
--- /dev/null
+++ b/pollencleat/platform/clients.py
@@ -0,0 +1,220 @@
+"""Accepts callers in the platform's line protocol."""
+
+import asyncio
+
+import structlog
+
+from pollencleat.core.errors import (
+    CallerError,
+    MalformedStatementError,
+    PollencleatError,
+    UnknownDatabaseError,
+)
+from pollencleat.engine.access import ServerAccess
+from pollencleat.engine.executor import SessionExecutor
+from pollencleat.engine.session import SessionState
+from pollencleat.engine.statements import Answer
+from pollencleat.platform.wire import (
+    MAX_LINE_BYTES,
+    LineTooLongError,
+    code_of_error,
+    encode_line,
+    format_position,
+    parse_statement,
+    read_line,
+    tune_socket,
+)
+
+START_LIMIT_S = 10.0
+"""How long a connection may stay open without naming a database."""
+
+LISTEN_BACKLOG = 1024
+"""Connections that may wait to be accepted; a crowd returns after an outage."""
+
+DRAIN_POLL_S = 0.02
+"""Seconds between two looks at the sessions while the process drains."""
+
+TOO_LARGE = "TOOLARGE"
+
+log = structlog.get_logger()
+
+
+class ClientConnection:
+    """One caller's connection and its session."""
+
+    def __init__(
+        self,
+        access: ServerAccess,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Serve an accepted connection."""
+        self._access = access
+        self._reader = reader
+        self._writer = writer
+        self._lock = asyncio.Lock()
+        self.executor: SessionExecutor | None = None
+
+    async def serve(self) -> None:
+        """Serve until the caller leaves or the connection is closed."""
+        try:
+            async with asyncio.timeout(START_LIMIT_S):
+                line = await read_line(self._reader)
+            if line is None or not self._start(line):
+                return
+            while await self._serve_next():
+                pass
+        except MalformedStatementError as error:
+            # Nothing after an unreadable line can be told apart.
+            self._writer.write(encode_line("ERROR", TOO_LARGE, error.detail))
+        finally:
+            if self.executor is not None:
+                async with self._lock:
+                    await self.executor.close()
+
+    def _start(self, line: str) -> bool:
+        word, _, rest = line.partition(" ")
+        database, _, account = rest.partition(" ")
+        if word != "STARTUP" or not database or not account:
+            self._writer.write(encode_line("ERROR", "MALFORMED", "no start"))
+            return False
+        try:
+            if not self._access.board.inventory.version:
+                raise PollencleatError("no configuration is known yet")
+            self._access.route_of(database)
+        except UnknownDatabaseError as error:
+            log.info(
+                "session refused",
+                database=database,
+                inventory=self._access.board.inventory.version,
+                reason=error.detail,
+            )
+            self._writer.write(encode_line("ERROR", "NODATABASE", database))
+            return False
+        except PollencleatError as error:
+            self._writer.write(encode_line("ERROR", "BUSY", str(error)))
+            return False
+        self.executor = SessionExecutor(self._access, SessionState(database, account))
+        self._writer.write(encode_line("READY", "I", "-"))
+        return True
+
+    async def _serve_next(self) -> bool:
+        line = await read_line(self._reader)
+        if line is None or line.startswith("TERMINATE"):
+            return False
+        async with self._lock:
+            try:
+                answer = await self.executor.execute(parse_statement(line))
+            except LineTooLongError:
+                raise
+            except CallerError as error:
+                self._write_error(error)
+            else:
+                self._write_answer(answer)
+        await self._writer.drain()
+        return not self._writer.is_closing()
+
+    def _write_answer(self, answer: Answer) -> None:
+        lines = [encode_line("DATAROW", row) for row in answer.rows]
+        lines.append(encode_line("COMPLETE", answer.receipt or "-"))
+        lines.append(self._ready_line(format_position(answer.position)))
+        self._writer.write(b"".join(lines))
+
+    def _write_error(self, error: CallerError) -> None:
+        detail = error.detail
+        if error.retry_after_ms is not None:
+            detail = f"retry after {error.retry_after_ms} ms: {detail}"
+        self._writer.write(
+            encode_line("ERROR", code_of_error(error), detail) + self._ready_line("-")
+        )
+
+    def _ready_line(self, position: str) -> bytes:
+        state = "I"
+        if self.executor.is_in_transaction:
+            state = "E" if self.executor.has_failed else "T"
+        return encode_line("READY", state, position)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request or a transaction is open."""
+        if self._lock.locked():
+            return True
+        return self.executor is not None and self.executor.is_in_transaction
+
+    async def end_idle_transaction(self, now_s: float) -> None:
+        """Let go of a server if the transaction is idle for too long."""
+        if self._lock.locked() or self.executor is None:
+            return
+        async with self._lock:
+            await self.executor.end_idle_transaction(now_s)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
+class ClientListener:
+    """Listens for callers and keeps their connections."""
+
+    def __init__(self, access: ServerAccess) -> None:
+        """Prepare; start listens."""
+        self._access = access
+        self._server: asyncio.Server | None = None
+        self.connections: set[ClientConnection] = set()
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen.
+
+        Args:
+            host: Address.
+            port: Port, or 0 for one that the system chooses.
+
+        Returns:
+            The port.
+        """
+        self._server = await asyncio.start_server(
+            self._serve, host, port, limit=MAX_LINE_BYTES, backlog=LISTEN_BACKLOG
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        tune_socket(writer)
+        connection = ClientConnection(self._access, reader, writer)
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        except (OSError, TimeoutError) as error:
+            self._access.metrics.count("connection_broken", type(error).__name__)
+        finally:
+            self.connections.discard(connection)
+            writer.close()
+
+    async def end_idle_transactions(self) -> None:
+        """Let go of servers that idle transactions hold."""
+        now_s = self._access.clock()
+        for connection in list(self.connections):
+            await connection.end_idle_transaction(now_s)
+
+    async def drain(self, limit_s: float) -> bool:
+        """Stop accepting, close idle sessions, and wait for the others.
+
+        Args:
+            limit_s: Longest wait in seconds.
+
+        Returns:
+            True if nothing was cut off.
+        """
+        if self._server is not None:
+            self._server.close()
+        deadline_s = self._access.clock() + limit_s
+        while self.connections and self._access.clock() < deadline_s:
+            for connection in list(self.connections):
+                if not connection.is_busy:
+                    connection.close()
+            await asyncio.sleep(DRAIN_POLL_S)
+        is_clean = not any(item.is_busy for item in self.connections)
+        for connection in list(self.connections):
+            connection.close()
+        return is_clean
--- /dev/null
+++ b/pollencleat/platform/endpoints.py
@@ -0,0 +1,61 @@
+"""The readiness endpoint that the platform asks, and the metrics."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from pollencleat.reports.metrics import Metrics
+
+READY_PATH = "/api/readiness"
+METRICS_PATH = "/metrics"
+
+
+class HttpEndpoints:
+    """Small HTTP servers of one process."""
+
+    def __init__(self) -> None:
+        """Start without servers."""
+        self._runners: list[web.AppRunner] = []
+
+    async def serve_readiness(
+        self, host: str, port: int, is_ready: Callable[[], bool]
+    ) -> None:
+        """Answer whether this node takes new connections.
+
+        Args:
+            host: Address.
+            port: Port.
+            is_ready: Asked for each request.
+        """
+
+        async def handle(request: web.Request) -> web.Response:
+            return web.Response(status=200 if is_ready() else 503)
+
+        await self._serve(host, port, READY_PATH, handle)
+
+    async def serve_metrics(self, host: str, port: int, metrics: Metrics) -> None:
+        """Serve all metrics in the text form that scrapers read.
+
+        Args:
+            host: Address.
+            port: Port.
+            metrics: What is served.
+        """
+
+        async def handle(request: web.Request) -> web.Response:
+            return web.Response(body=metrics.render(), content_type="text/plain")
+
+        await self._serve(host, port, METRICS_PATH, handle)
+
+    async def _serve(self, host: str, port: int, path: str, handle: Callable) -> None:
+        app = web.Application()
+        app.router.add_get(path, handle)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, host, port).start()
+        self._runners.append(runner)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for runner in self._runners:
+            await runner.cleanup()
--- /dev/null
+++ b/pollencleat/platform/objects.py
@@ -0,0 +1,246 @@
+"""Calls to the platform's store over HTTP.
+
+A call without an answer may have taken effect, or may take effect later; callers settle
+that by reading, never by sending a change again without its condition.
+"""
+
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from pollencleat.core.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreUnavailableError,
+)
+from pollencleat.platform.settings import Endpoint
+
+CALL_LIMIT_S = 1.0
+"""How long a call may take; the store answers in milliseconds when it is well."""
+
+WATCH_MARGIN_S = 0.7
+"""How much later than agreed the answer to a watch may come."""
+
+OK = 200
+CREATED = 201
+NOT_FOUND = 404
+CONFLICT = 409
+GONE = 410
+
+Json = dict | list | str | int | float | bool | None
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since a revision."""
+
+
+class ObjectMeta(msgspec.Struct, frozen=True):
+    """An object's name, and the revision of its last change."""
+
+    name: str
+    revision: int
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object of the store.
+
+    Attributes:
+        spec: What its writer wants or declares.
+        status: What was reported of it.
+    """
+
+    meta: ObjectMeta
+    spec: Json = None
+    status: Json = None
+
+
+class ObjectEvent(msgspec.Struct, frozen=True):
+    """One change of an object."""
+
+    object: StoredObject
+    deleted: bool = False
+
+
+class _ListPage(msgspec.Struct, frozen=True):
+    items: list[StoredObject]
+    current_rev: int
+    has_more: bool = False
+
+
+class _WatchAnswer(msgspec.Struct, frozen=True):
+    events: list[ObjectEvent]
+    current_rev: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectList:
+    """All objects of a kind as of a revision of the store."""
+
+    objects_by_name: dict[str, StoredObject]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectChanges:
+    """Changes of a kind up to a revision of the store."""
+
+    events: tuple[ObjectEvent, ...]
+    revision: int
+
+
+class ObjectClient:
+    """The one client of the platform's store."""
+
+    def __init__(self, address: Endpoint) -> None:
+        """Use the store at an address."""
+        self._url = f"http://{address}/api/objects"
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+
+    async def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def read_object(self, kind: str, name: str) -> StoredObject | None:
+        """Read an object, linearizably.
+
+        Args:
+            kind: Its kind.
+            name: Its name.
+
+        Returns:
+            The object, or None if there is none.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        status, body = await self._call("GET", f"/{kind}/{name}")
+        if status == NOT_FOUND:
+            return None
+        return _decode(body, StoredObject)
+
+    async def list_objects(self, kind: str) -> ObjectList:
+        """Read all objects of a kind, page by page.
+
+        Args:
+            kind: The kind.
+
+        Returns:
+            The objects as of the revision of the first page; later pages may be newer,
+            which the next watch repeats.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        objects_by_name: dict[str, StoredObject] = {}
+        revision = None
+        after = ""
+        while True:
+            params = {"after": after} if after else {}
+            _, body = await self._call("GET", f"/{kind}", params=params)
+            page = _decode(body, _ListPage)
+            revision = page.current_rev if revision is None else revision
+            for item in page.items:
+                objects_by_name[item.meta.name] = item
+            if not page.has_more or not page.items:
+                return ObjectList(objects_by_name, revision)
+            after = page.items[-1].meta.name
+
+    async def watch(self, kind: str, revision: int, wait_s: float) -> ObjectChanges:
+        """Wait for changes of a kind.
+
+        Args:
+            kind: The kind.
+            revision: Changes after it are wanted.
+            wait_s: How long to wait for one.
+
+        Returns:
+            The changes, maybe none.
+
+        Raises:
+            HistoryGoneError: The changes since then are not known any more.
+            StoreUnavailableError: No answer.
+        """
+        params = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
+        status, body = await self._call(
+            "GET", f"/{kind}", wait_s + WATCH_MARGIN_S, params=params
+        )
+        if status == GONE:
+            raise HistoryGoneError(f"{kind}: no history since {revision}")
+        answer = _decode(body, _WatchAnswer)
+        return ObjectChanges(tuple(answer.events), answer.current_rev)
+
+    async def create_object(self, kind: str, name: str, spec: Json) -> int:
+        """Create an object.
+
+        Args:
+            kind: Its kind.
+            name: Its name.
+            spec: Its content.
+
+        Returns:
+            Its revision.
+
+        Raises:
+            StoreConflictError: It exists.
+            StoreUnavailableError: No answer; it may have been created.
+        """
+        body = {"meta": {"name": name}, "spec": spec}
+        return await self._change("POST", f"/{kind}", body)
+
+    async def replace_object(
+        self, kind: str, name: str, revision: int, spec: Json
+    ) -> int:
+        """Replace an object's content if nobody has changed it.
+
+        Args:
+            kind: Its kind.
+            name: Its name.
+            revision: The expected revision.
+            spec: The new content.
+
+        Returns:
+            The new revision.
+
+        Raises:
+            StoreConflictError: It was changed.
+            StoreUnavailableError: No answer; the change may have taken effect.
+        """
+        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
+        return await self._change("PUT", f"/{kind}/{name}", body)
+
+    async def _change(self, method: str, path: str, body: Json) -> int:
+        status, answer = await self._call(method, path, json=body)
+        if status in (CONFLICT, NOT_FOUND):
+            raise StoreConflictError(f"{method} {path}: status {status}")
+        return _decode(answer, StoredObject).meta.revision
+
+    async def _call(
+        self, method: str, path: str, limit_s: float = CALL_LIMIT_S, **options: object
+    ) -> tuple[int, bytes]:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+            self._session = aiohttp.ClientSession(connector=connector)
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(total=limit_s)
+        try:
+            async with self._session.request(
+                method, self._url + path, timeout=timeout, **options
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            text = str(error) or type(error).__name__
+            raise StoreUnavailableError(f"{method} {path}: {text}") from error
+        if status not in (OK, CREATED, NOT_FOUND, CONFLICT, GONE):
+            raise StoreUnavailableError(f"{method} {path}: status {status}")
+        return status, body
+
+
+def _decode(body: bytes, kind: type) -> object:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"malformed answer of the store: {error}") from error
--- /dev/null
+++ b/pollencleat/platform/records.py
@@ -0,0 +1,163 @@
+"""What operators and servers write into the store, decoded into the core's records."""
+
+import msgspec
+
+from pollencleat.core.data import (
+    BackendServer,
+    DatabaseGroup,
+    Freshness,
+    Inventory,
+    Route,
+    Rules,
+)
+from pollencleat.core.errors import StoreError
+from pollencleat.platform.objects import Json, StoredObject
+from pollencleat.platform.settings import parse_endpoint
+
+READY = "ready"
+LEAVING = "draining"
+CONNECTIONS_A_SEAT = 4
+"""Connections of a share; a node needs two or three at once and one for orders."""
+
+OUTAGE_LIMIT_S = 15
+"""How long writes go on without the store, and so how long a node waits before it
+promotes when nobody is left who can vouch for it; above the longest stated outage."""
+
+DEFAULT_CONNECTIONS = 20
+"""Connections to a server whose group declares no limit."""
+
+_freshness_by_kind = {
+    "primary": Freshness.PRIMARY,
+    "bounded_staleness": Freshness.BOUNDED_AGE,
+    "read_your_writes": Freshness.OWN_WRITES,
+}
+
+
+class _Route(msgspec.Struct, frozen=True):
+    host: str
+    """The database name that callers connect to, not an address."""
+    kind: str
+    service: str
+    timeout_ms: int
+    target_latency_ms: int
+    priority: int = 0
+    max_staleness_ms: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    connection_limit: int = DEFAULT_CONNECTIONS
+    sync_replica_count: int = 0
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    transaction_idle_ms: int = 0
+
+
+class _DesiredState(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+
+class _ServerEntry(msgspec.Struct, frozen=True):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    sequence: int
+    """Counts entries of one run of the server; not a log position."""
+    database_role: str
+    born: int = 0
+    """Unix millisecond of the server's start; another value means an empty log."""
+    cold_remaining_ms: float = 0
+
+
+def decode_inventory(spec: Json) -> Inventory:
+    """Return the inventory of the operators' object.
+
+    Args:
+        spec: The object's content.
+
+    Returns:
+        The inventory; its servers register themselves.
+
+    Raises:
+        StoreError: The content is malformed.
+    """
+    try:
+        desired = msgspec.convert(spec, _DesiredState)
+    except msgspec.ValidationError as error:
+        raise StoreError(f"malformed desired state: {error}") from error
+    services = {service.name: service for service in desired.services}
+    smallest = min(
+        (service.connection_limit for service in desired.services),
+        default=DEFAULT_CONNECTIONS,
+    )
+    return Inventory(
+        version=desired.version,
+        groups_by_id={
+            name: DatabaseGroup(name, name, (), (), service.sync_replica_count)
+            for name, service in services.items()
+        },
+        rules=Rules(
+            seats=max(1, smallest // CONNECTIONS_A_SEAT),
+            outage_limit_s=OUTAGE_LIMIT_S,
+            transaction_idle_ms=desired.limits.transaction_idle_ms,
+        ),
+        routes_by_database={
+            route.host: _make_route(route)
+            for route in desired.routes
+            if route.kind in _freshness_by_kind and route.service in services
+        },
+        connections_by_group={
+            name: service.connection_limit for name, service in services.items()
+        },
+    )
+
+
+def _make_route(route: _Route) -> Route:
+    return Route(
+        database=route.host,
+        group_id=route.service,
+        freshness=_freshness_by_kind[route.kind],
+        max_age_ms=route.max_staleness_ms,
+        statement_limit_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        priority=route.priority,
+    )
+
+
+def decode_server(stored: StoredObject) -> tuple[BackendServer, bool]:
+    """Return the server of an entry, and whether it is leaving.
+
+    Args:
+        stored: The entry; its name is the server's id.
+
+    Returns:
+        The server and True if it is about to end.
+
+    Raises:
+        StoreError: The entry is malformed and names no server to use.
+    """
+    content = stored.status if stored.status is not None else stored.spec
+    try:
+        entry = msgspec.convert(content, _ServerEntry)
+        endpoint = parse_endpoint(entry.address)
+    except (msgspec.ValidationError, ValueError) as error:
+        raise StoreError(f"malformed entry {stored.meta.name}: {error}") from error
+    if entry.state not in (READY, LEAVING):
+        raise StoreError(f"entry {stored.meta.name}: unknown state {entry.state!r}")
+    server = BackendServer(
+        server_id=stored.meta.name,
+        group_id=entry.service,
+        host=endpoint.host,
+        port=endpoint.port,
+        failure_domain=entry.zone,
+        slots=entry.slots,
+        connections=0,
+        born_ms=entry.born,
+    )
+    return server, entry.state == LEAVING
--- /dev/null
+++ b/pollencleat/platform/servers.py
@@ -0,0 +1,255 @@
+"""Connections to backend servers in the platform's line protocol."""
+
+import asyncio
+
+from pollencleat.core.data import BackendServer, Position, ServerStatus
+from pollencleat.core.errors import (
+    BackendError,
+    BackendLostError,
+    BackendRefusedError,
+    MalformedStatementError,
+)
+from pollencleat.engine.statements import (
+    Commit,
+    ServerFailure,
+    ServerReply,
+    Shape,
+    Work,
+)
+from pollencleat.platform.wire import (
+    MAX_LINE_BYTES,
+    OWN_REQUEST,
+    encode_line,
+    failure_of_code,
+    format_position,
+    parse_position,
+    parse_ready,
+    read_line,
+    tune_socket,
+)
+
+USER = "pollencleat"
+"""Who connects, as told to servers; any word will do."""
+
+STATUS_FIELDS = 7
+PRIMARY_ROLE = "primary"
+
+
+class ServerConnection:
+    """One connection to a server; carries one request at a time."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Take over an open connection."""
+        self._reader = reader
+        self._writer = writer
+        self._is_waiting = False
+        self._is_closed = False
+        self.has_open_transaction = False
+        self.values: dict[str, str] = {}
+        self.names_by_shape: dict[Shape, str] = {}
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it is open and no answer is outstanding."""
+        return (
+            not self._is_closed
+            and not self._is_waiting
+            and not self._reader.at_eof()
+            and not self._writer.transport.is_closing()
+        )
+
+    def close(self) -> None:
+        """Close; the server rolls back what is open."""
+        self._is_closed = True
+        self._writer.close()
+
+    async def start(self, service: str, server_id: str) -> None:
+        """Name the wanted server, which refuses if it is another.
+
+        Args:
+            service: The group's name.
+            server_id: The server's id.
+
+        Raises:
+            BackendError: It refused, or the connection broke.
+        """
+        reply = await self._ask(encode_line("STARTUP", service, USER, server_id))
+        if reply.failure is not None:
+            raise BackendError(f"{reply.failure}: {reply.detail}")
+
+    async def begin(self, read_only: bool, at_least: Position | None) -> ServerReply:
+        """Begin a transaction, if the server has applied a position."""
+        verb = "BEGIN READ" if read_only else "BEGIN"
+        return await self._query(OWN_REQUEST, _after(at_least) + verb)
+
+    async def run(
+        self, work: Work, prepared_name: str, at_least: Position | None
+    ) -> ServerReply:
+        """Run a read or write, if the server has applied a position."""
+        text = work.text
+        if prepared_name:
+            text = f"EXECUTE {prepared_name} {work.text}"
+        return await self._query(work.request_id, _after(at_least) + text)
+
+    async def commit(self, commit: Commit) -> ServerReply:
+        """Commit."""
+        return await self._query(commit.request_id, "COMMIT")
+
+    async def roll_back(self) -> ServerReply:
+        """Roll back."""
+        return await self._query(OWN_REQUEST, "ROLLBACK")
+
+    async def set_value(self, name: str, value: str) -> ServerReply:
+        """Set a value."""
+        return await self._query(OWN_REQUEST, f"SET {name} {value}")
+
+    async def prepare(self, name: str, shape: Shape) -> ServerReply:
+        """Prepare a shape under a name of this connection."""
+        access = shape.access.name
+        return await self._query(OWN_REQUEST, f"PREPARE {name} {access} {shape.text}")
+
+    async def reset(self) -> ServerReply:
+        """Clear values and prepared statements."""
+        return await self._query(OWN_REQUEST, "DISCARD")
+
+    async def order(self, text: str) -> ServerStatus:
+        """Send a command that is answered with the server's status.
+
+        Args:
+            text: The command.
+
+        Returns:
+            The status.
+
+        Raises:
+            BackendError: The server refused, or the answer is malformed.
+        """
+        reply = await self._query(OWN_REQUEST, text)
+        if reply.failure is not None:
+            raise BackendError(f"{text}: {reply.failure}: {reply.detail}")
+        if not reply.rows:
+            raise BackendLostError(f"{text}: answered without a row")
+        return parse_status(reply.rows[0])
+
+    async def _query(self, request_id: str, text: str) -> ServerReply:
+        return await self._ask(encode_line("QUERY", request_id, text))
+
+    async def _ask(self, line: bytes) -> ServerReply:
+        if not self.is_usable:
+            raise BackendLostError("the connection is not usable")
+        self._is_waiting = True
+        try:
+            self._writer.write(line)
+            await self._writer.drain()
+            reply = await self._read_reply()
+        except (OSError, MalformedStatementError) as error:
+            self.close()
+            raise BackendLostError(str(error) or type(error).__name__) from error
+        except BaseException:
+            # An answer may still be under way; nobody else must read it.
+            self.close()
+            raise
+        self._is_waiting = False
+        return reply
+
+    async def _read_reply(self) -> ServerReply:
+        rows = []
+        receipt = ""
+        failure: ServerFailure | None = None
+        detail = ""
+        while True:
+            line = await read_line(self._reader)
+            if line is None:
+                if failure is not None:
+                    # A refused start is followed by a close instead of a state.
+                    return ServerReply(failure=failure, detail=detail)
+                raise BackendLostError("the server closed the connection")
+            word, _, rest = line.partition(" ")
+            if word == "DATAROW":
+                rows.append(rest)
+            elif word == "COMPLETE":
+                receipt = rest
+            elif word == "ERROR":
+                code, _, detail = rest.partition(" ")
+                failure = failure_of_code(code)
+                detail = f"{code} {detail}".strip()
+            elif word == "READY":
+                ready = parse_ready(rest)
+                self.has_open_transaction = ready.in_transaction
+                return ServerReply(
+                    tuple(rows),
+                    receipt,
+                    failure,
+                    detail,
+                    ready.position,
+                    ready.in_transaction,
+                )
+            else:
+                raise BackendLostError(f"unexpected line {line[:40]!r}")
+
+
+def _after(at_least: Position | None) -> str:
+    return f"WAITFOR {format_position(at_least)} " if at_least else ""
+
+
+def parse_status(row: str) -> ServerStatus:
+    """Return the status in a server's row.
+
+    The fields are role, term, position received, term that it is held for, lag in
+    milliseconds, busy slots and connections.
+
+    Args:
+        row: As received.
+
+    Returns:
+        The status; the server applies all that it received when it is promoted.
+
+    Raises:
+        BackendLostError: The row is malformed.
+    """
+    fields = row.split()
+    if len(fields) < STATUS_FIELDS or not fields[1].isdigit():
+        raise BackendLostError(f"malformed status {row[:60]!r}")
+    received = parse_position(fields[2]) or Position(0, 0)
+    return ServerStatus(
+        term=int(fields[1]),
+        position=received.position,
+        received_position=received.position,
+        last_entry_term=received.term,
+        read_only=fields[0] != PRIMARY_ROLE,
+        following=None,
+        held_for_term=int(fields[3]) if fields[3].isdigit() else 0,
+    )
+
+
+async def open_server_connection(server: BackendServer) -> ServerConnection:
+    """Connect to a server and make sure that it is the expected one.
+
+    Args:
+        server: The server.
+
+    Returns:
+        An open connection.
+
+    Raises:
+        BackendRefusedError: Nothing listens there.
+        BackendError: Any other failure.
+    """
+    try:
+        reader, writer = await asyncio.open_connection(
+            server.host, server.port, limit=MAX_LINE_BYTES
+        )
+    except ConnectionRefusedError as error:
+        raise BackendRefusedError(str(error)) from error
+    except OSError as error:
+        raise BackendError(str(error)) from error
+    tune_socket(writer)
+    connection = ServerConnection(reader, writer)
+    try:
+        await connection.start(server.group_id, server.server_id)
+    except BaseException:
+        connection.close()
+        raise
+    return connection
--- /dev/null
+++ b/pollencleat/platform/store.py
@@ -0,0 +1,213 @@
+"""The platform store port: the fleet's object, and watches of what others write."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+import msgspec
+import structlog
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import Fleet
+from pollencleat.core.errors import StoreError
+from pollencleat.core.ports import PlatformState
+from pollencleat.membership.directory import ServerDirectory
+from pollencleat.platform.objects import (
+    HistoryGoneError,
+    ObjectChanges,
+    ObjectClient,
+    ObjectList,
+)
+from pollencleat.platform.records import decode_inventory, decode_server
+
+FLEET_KIND = "pollencleat"
+FLEET_NAME = "fleet"
+INVENTORY_KIND = "config"
+INVENTORY_NAME = "main"
+SERVERS_KIND = "servers"
+
+WATCH_WAIT_S = 1.5
+"""How long a watch waits; a silent connection is noticed this much later, which leaves
+room within the time in which a change has to be in force."""
+
+SERVERS_PAUSE_S = 0.5
+"""Seconds between two watches of servers, whose entries change all the time."""
+
+RETRY_S = 0.2
+"""Seconds before a call is tried again."""
+
+log = structlog.get_logger()
+
+
+class FleetObjectStore:
+    """Keeps the fleet state in one object of the store."""
+
+    def __init__(self, client: ObjectClient) -> None:
+        """Use a client."""
+        self._client = client
+
+    async def read_state(self, board: Blackboard) -> PlatformState:
+        """Read the fleet state; watches keep the rest up to date."""
+        stored = await self._client.read_object(FLEET_KIND, FLEET_NAME)
+        fleet = Fleet()
+        if stored is not None:
+            fleet = board.fleet
+            if stored.meta.revision != board.fleet.version:
+                fleet = _decode_fleet(stored.spec, stored.meta.revision)
+        return PlatformState(fleet, board.declared, board.vms)
+
+    async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
+        """Replace the fleet state if its version is the expected one."""
+        content = msgspec.to_builtins(dataclasses.replace(fleet, version=0))
+        if not expected_version:
+            return await self._client.create_object(FLEET_KIND, FLEET_NAME, content)
+        return await self._client.replace_object(
+            FLEET_KIND, FLEET_NAME, expected_version, content
+        )
+
+
+def _decode_fleet(spec: object, revision: int) -> Fleet:
+    try:
+        fleet = msgspec.convert(spec, Fleet)
+    except msgspec.ValidationError as error:
+        raise StoreError(f"malformed fleet state: {error}") from error
+    return dataclasses.replace(fleet, version=revision)
+
+
+class StoreWatcher:
+    """Follows one kind of objects: lists once, then watches."""
+
+    def __init__(
+        self,
+        client: ObjectClient,
+        kind: str,
+        on_list: Callable[[ObjectList], None],
+        on_changes: Callable[[ObjectChanges], None],
+        on_contact: Callable[[bool], None],
+        pause_s: float = 0.0,
+    ) -> None:
+        """Report to callbacks; on_contact tells whether the store answers."""
+        self._client = client
+        self._kind = kind
+        self._on_list = on_list
+        self._on_changes = on_changes
+        self._on_contact = on_contact
+        self._pause_s = pause_s
+        self._revision: int | None = None
+        self._answers = True
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._step()
+                self._note(True, "")
+            except HistoryGoneError as error:
+                log.info("watch restarted", kind=self._kind, reason=str(error))
+                self._revision = None
+            except StoreError as error:
+                self._note(False, str(error))
+                await asyncio.sleep(RETRY_S)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            listed = await self._client.list_objects(self._kind)
+            self._on_list(listed)
+            self._revision = listed.revision
+            return
+        changes = await self._client.watch(self._kind, self._revision, WATCH_WAIT_S)
+        if changes.events:
+            self._on_changes(changes)
+        self._revision = max(self._revision, changes.revision)
+        if self._pause_s:
+            await asyncio.sleep(self._pause_s)
+
+    def _note(self, answers: bool, reason: str) -> None:
+        self._on_contact(answers)
+        if answers == self._answers:
+            return
+        self._answers = answers
+        event = "dependency regained" if answers else "dependency lost"
+        log.info(event, dependency=f"store watch of {self._kind}", reason=reason)
+
+
+def make_inventory_watcher(client: ObjectClient, board: Blackboard) -> StoreWatcher:
+    """Return a watcher that keeps the inventory up to date.
+
+    Args:
+        client: The store.
+        board: Where the inventory is adopted.
+
+    Returns:
+        A watcher.
+    """
+
+    def adopt(name: str, spec: object) -> None:
+        if name != INVENTORY_NAME:
+            return
+        try:
+            inventory = decode_inventory(spec)
+        except StoreError as error:
+            log.warning("inventory refused", reason=str(error))
+            return
+        if board.adopt_inventory(inventory):
+            log.info("inventory adopted", version=inventory.version, source="store")
+
+    def on_list(listed: ObjectList) -> None:
+        for name, stored in listed.objects_by_name.items():
+            adopt(name, stored.spec)
+
+    def on_changes(changes: ObjectChanges) -> None:
+        for event in changes.events:
+            if not event.deleted:
+                adopt(event.object.meta.name, event.object.spec)
+
+    return StoreWatcher(
+        client, INVENTORY_KIND, on_list, on_changes, lambda answers: None
+    )
+
+
+def make_servers_watcher(
+    client: ObjectClient, directory: ServerDirectory
+) -> StoreWatcher:
+    """Return a watcher that keeps the directory of servers up to date.
+
+    Args:
+        client: The store.
+        directory: What decides which servers count.
+
+    Returns:
+        A watcher.
+    """
+
+    def on_list(listed: ObjectList) -> None:
+        entries = {}
+        for name, stored in listed.objects_by_name.items():
+            try:
+                entries[name] = decode_server(stored)
+            except StoreError as error:
+                log.info("server entry refused", server=name, reason=str(error))
+        directory.replace_all(entries, listed.revision)
+
+    def on_changes(changes: ObjectChanges) -> None:
+        for event in changes.events:
+            name = event.object.meta.name
+            if event.deleted:
+                directory.remove(name, event.object.meta.revision)
+                continue
+            try:
+                server, leaving = decode_server(event.object)
+            except StoreError as error:
+                log.info("server entry refused", server=name, reason=str(error))
+                continue
+            directory.update(server, leaving, event.object.meta.revision)
+        directory.publish(changes.revision)
+
+    return StoreWatcher(
+        client,
+        SERVERS_KIND,
+        on_list,
+        on_changes,
+        directory.note_contact,
+        SERVERS_PAUSE_S,
+    )
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -18,7 +18,13 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import CLOCK_DRIFT, PERMIT_S, PROMISE_S
-from pollencleat.core.data import GroupTerm, Promotion, ServerStatus
+from pollencleat.core.data import (
+    DatabaseGroup,
+    GroupTerm,
+    Promotion,
+    ServerStatus,
+    TermStart,
+)
 
 REMOVED_WAIT_S = max(PERMIT_S, PROMISE_S) * (1 + 3 * CLOCK_DRIFT)
 """A removed member holds no permit after this time."""
@@ -38,6 +44,7 @@
     """State of one promotion that this node carries out.
 
     Attributes:
+        log_term: Term for orders to servers.
         slow_deadline_s: From then on no permit of an older term can be valid.
         waiting_for: Incarnations that have not confirmed.
         old_status: Status of the old primary after it was fenced.
@@ -46,6 +53,7 @@
 
     group_id: str
     term: int
+    log_term: int
     promotion: Promotion
     started_at_s: float
     slow_deadline_s: float
@@ -55,7 +63,7 @@
     asked_at_s: float = -1e9
     old_status: ServerStatus | None = None
     chosen: str = ""
-    start_position: int = 0
+    start: TermStart | None = None
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
 
     def enter(self, phase: Phase, now_s: float) -> None:
@@ -90,6 +98,7 @@
     return Attempt(
         term.group_id,
         term.term,
+        term.next_log_term,
         term.promotion,
         now_s,
         slow_deadline_s,
@@ -143,16 +152,57 @@
     ]
     staying = [server_id for server_id in answered if server_id not in leaving]
     best = None
-    best_key = (-1, -1)
+    best_key = (-1, -1, False)
     for server_id in staying or answered:
         status = attempt.statuses_by_server[server_id]
-        key = (status.last_entry_term, status.received_position)
+        # With no primary agreed before, one that leads already is kept.
+        is_primary = not attempt.promotion.old_primary and not status.read_only
+        key = (status.last_entry_term, status.received_position, is_primary)
         if key > best_key:
             best = server_id
             best_key = key
     return best
 
 
+def has_every_acknowledged_commit(
+    attempt: Attempt, group: DatabaseGroup, server_id: str
+) -> bool:
+    """Return whether no acknowledged commit can be missing from a chosen server.
+
+    A commit that needs k replicas for its acknowledgement is on one of the replicas
+    that were held unless k or more could not be asked; the chosen server is the most
+    advanced of them.  Otherwise only the final position of the old primary tells.
+
+    Args:
+        attempt: With the answers of the current round; all who answered are held.
+        group: The group.
+        server_id: The chosen server.
+
+    Returns:
+        True if the choice is safe, or if the group does not promise to keep commits.
+    """
+    if not group.acknowledging_replicas or not attempt.promotion.old_primary:
+        return True
+    silent = [
+        name
+        for name in group.server_ids
+        if name != attempt.promotion.old_primary
+        and attempt.statuses_by_server.get(name) is None
+    ]
+    if len(silent) < group.acknowledging_replicas:
+        return True
+    old = attempt.old_status
+    if old is None:
+        old = attempt.statuses_by_server.get(attempt.promotion.old_primary)
+    if old is None:
+        return False
+    status = attempt.statuses_by_server[server_id]
+    return (status.last_entry_term, status.received_position) >= (
+        old.last_entry_term,
+        old.received_position,
+    )
+
+
 def is_caught_up(attempt: Attempt, server_id: str) -> bool:
     """Return whether a server has applied everything that is known to exist.
 
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -10,11 +10,18 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import FAILOVER_AFTER_S
-from pollencleat.core.data import AuditEntry, Fleet, GroupTerm, Promotion
+from pollencleat.core.data import (
+    AuditEntry,
+    DatabaseGroup,
+    Fleet,
+    GroupTerm,
+    Promotion,
+)
 from pollencleat.core.effects import (
     FenceServer,
     FleetUpdated,
     FollowPrimary,
+    HoldServer,
     PromoteServer,
     ReadServerStatus,
     ServerFenced,
@@ -40,6 +47,7 @@
     Phase,
     begin_attempt,
     choose_server,
+    has_every_acknowledged_commit,
     is_caught_up,
 )
 from pollencleat.promotion.suspicion import (
@@ -351,7 +359,9 @@
             self._ask_to_stop(attempt, now_s)
             if promotion.old_primary:
                 board.effects.append(
-                    FenceServer(promotion.attempt_id, promotion.old_primary, term.term)
+                    FenceServer(
+                        promotion.attempt_id, promotion.old_primary, term.next_log_term
+                    )
                 )
 
     def _advance_attempts(self, now_s: float) -> None:
@@ -418,9 +428,17 @@
             attempt.asked_at_s = now_s
             attempt.statuses_by_server = {}
             for server_id in server_ids:
-                self.board.effects.append(
-                    ReadServerStatus(attempt.promotion.attempt_id, server_id)
-                )
+                self.board.effects.append(self._make_question(attempt, server_id))
+
+    def _make_question(
+        self, attempt: Attempt, server_id: str
+    ) -> ReadServerStatus | HoldServer:
+        """Return how a server is asked; those that acknowledge commits are held."""
+        attempt_id = attempt.promotion.attempt_id
+        group = self.board.inventory.groups_by_id[attempt.group_id]
+        if not group.acknowledging_replicas or not attempt.promotion.old_primary:
+            return ReadServerStatus(attempt_id, server_id)
+        return HoldServer(attempt_id, server_id, attempt.log_term)
 
     def on_status_read(self, result: ServerStatusRead, now_s: float) -> None:
         """Take in a server's answer; choose once enough are there.
@@ -438,11 +456,10 @@
             if attempt.phase is not Phase.CHOOSING:
                 continue
             attempt.statuses_by_server[result.server_id] = result.status
-            self._choose(attempt, group.server_ids, now_s)
+            self._choose(attempt, group, now_s)
 
-    def _choose(
-        self, attempt: Attempt, server_ids: tuple[str, ...], now_s: float
-    ) -> None:
+    def _choose(self, attempt: Attempt, group: DatabaseGroup, now_s: float) -> None:
+        server_ids = group.server_ids
         others = [name for name in server_ids if name != attempt.promotion.old_primary]
         missing = [name for name in others if name not in attempt.statuses_by_server]
         waited_s = now_s - attempt.phase_since_s
@@ -454,6 +471,8 @@
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
             return
+        if not has_every_acknowledged_commit(attempt, group, chosen):
+            return
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.asked_at_s = now_s - CHOOSE_WAIT_S + ASK_AGAIN_S
@@ -470,7 +489,12 @@
             return
         attempt.asked_at_s = now_s
         self.board.effects.append(
-            PromoteServer(attempt.promotion.attempt_id, attempt.chosen, attempt.term)
+            PromoteServer(
+                attempt.promotion.attempt_id,
+                attempt.chosen,
+                attempt.log_term,
+                attempt.term,
+            )
         )
 
     def on_promoted(self, result: ServerPromoted, now_s: float) -> None:
@@ -487,10 +511,10 @@
                 continue
             if attempt.chosen != result.server_id:
                 continue
-            if result.start_position is None:
+            if result.start is None:
                 attempt.enter(Phase.CHOOSING, now_s)
                 continue
-            attempt.start_position = result.start_position
+            attempt.start = result.start
             attempt.enter(Phase.PUBLISHING, now_s)
         self._advance_attempts(now_s)
 
@@ -506,7 +530,7 @@
             if not self._is_current(other):
                 continue
             fleet = with_primary_published(
-                fleet, other.group_id, other.chosen, other.start_position
+                fleet, other.group_id, other.chosen, other.start
             )
             self._publish_pending.add(other.group_id)
             causes.append(f"{other.group_id}: {other.chosen} in term {other.term}")
@@ -543,5 +567,5 @@
             if server_id == attempt.chosen:
                 continue
             self.board.effects.append(
-                FollowPrimary(server_id, attempt.chosen, attempt.term)
+                FollowPrimary(server_id, attempt.chosen, attempt.start.term)
             )
--- a/pollencleat/promotion/steward.py
+++ b/pollencleat/promotion/steward.py
@@ -9,6 +9,7 @@
 from pollencleat.core.effects import FollowPrimary
 from pollencleat.core.index import rank_members
 from pollencleat.membership.permits import holds_write_permit
+from pollencleat.routing.freshness import is_replica_status
 
 REPEAT_S = 1.0
 """Time between two orders to the same server."""
@@ -44,16 +45,11 @@
             return False
         view = self.board.server(server_id)
         status = view.status
-        if status is None or now_s - view.answered_at_s > REPEAT_S:
+        if status is None or now_s - view.status_sent_at_s > REPEAT_S:
             return False
-        if status.term > term.term:
+        if status.term > term.log_term:
             return False
-        is_in_line = (
-            status.read_only
-            and status.following == term.primary
-            and status.term == term.term
-        )
-        return not is_in_line
+        return not is_replica_status(term, status) or bool(status.held_for_term)
 
     def _order(self, server_id: str, term: GroupTerm, now_s: float) -> None:
         rank = self._rank(term.group_id)
@@ -65,7 +61,7 @@
         if ordered_at_s is not None and now_s - ordered_at_s < wait_s:
             return
         self._ordered_at_s[server_id] = now_s
-        self.board.effects.append(FollowPrimary(server_id, term.primary, term.term))
+        self.board.effects.append(FollowPrimary(server_id, term.primary, term.log_term))
 
     def _rank(self, group_id: str) -> int:
         members = list(self.board.fleet.members_by_id.values())
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -61,7 +61,7 @@
     # An answer from before the primary was published tells of its former role.
     if view.status_sent_at_s <= board.primary_seen_at_s.get(term.group_id, 0.0):
         return Suspicion.NONE
-    if status is not None and (status.read_only or status.term != term.term):
+    if status is not None and (status.read_only or status.term != term.log_term):
         return Suspicion.DEMOTED
     return Suspicion.NONE
 
--- a/pollencleat/routing/freshness.py
+++ b/pollencleat/routing/freshness.py
@@ -46,13 +46,13 @@
     if is_primary_status(term, server_id, status):
         if not holds_write_permit(board, now_s):
             return
-        samples.add(term.term, sent_at_s, status.position)
+        samples.add(term.log_term, sent_at_s, status.position)
         view.fresh_as_of_s = sent_at_s
         return
     if not is_replica_status(term, status):
         view.fresh_as_of_s = -1e9
         return
-    if samples.term != term.term:
+    if samples.term != term.log_term:
         return
     covered_at_s = samples.time_covered_by(status.position)
     if covered_at_s is not None:
@@ -87,7 +87,9 @@
         True if the server is the primary, writable and of the same term.
     """
     return (
-        server_id == term.primary and not status.read_only and status.term == term.term
+        server_id == term.primary
+        and not status.read_only
+        and status.term == term.log_term
     )
 
 
@@ -103,6 +105,6 @@
     """
     return (
         status.read_only
-        and status.following == term.primary
-        and status.term == term.term
+        and status.following in (None, term.primary)
+        and status.term == term.log_term
     )
--- a/pollencleat/store/objects.py
+++ b/pollencleat/store/objects.py
@@ -1,11 +1,14 @@
 """The platform objects of this project and their forms."""
 
+import asyncio
 import dataclasses
 
 import pydantic
 
+from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import AuditEntry, Fleet, Inventory, VmList
 from pollencleat.core.errors import StoreError
+from pollencleat.core.ports import PlatformState
 from pollencleat.inventory.parser import parse_inventory
 from pollencleat.store.client import StoreClient, StoredObject
 
@@ -123,3 +126,48 @@
     """
     stored = await client.read_object(INVENTORY_NAME, known.version)
     return known if stored is None else decode_inventory(stored)
+
+
+class ObjectStore:
+    """The platform store port over this project's own object API."""
+
+    def __init__(self, client: StoreClient) -> None:
+        """Use a client."""
+        self._client = client
+
+    async def read_state(self, board: Blackboard) -> PlatformState:
+        """Read fleet state, inventory and VM list.
+
+        Args:
+            board: What is known.
+
+        Returns:
+            The newest state.
+
+        Raises:
+            StoreUnavailableError: No answer.
+        """
+        fleet, inventory, vms = await asyncio.gather(
+            read_fleet(self._client, board.fleet),
+            read_inventory(self._client, board.declared),
+            read_vm_list(self._client, board.vms),
+        )
+        return PlatformState(fleet, inventory, vms)
+
+    async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
+        """Replace the fleet state if its version is the expected one.
+
+        Args:
+            expected_version: 0 to create it.
+            fleet: The new state.
+
+        Returns:
+            The new version.
+
+        Raises:
+            StoreConflictError: Another node changed it.
+            StoreUnavailableError: No answer; the change may have taken effect.
+        """
+        return await self._client.update_object(
+            FLEET_NAME, expected_version, encode_fleet(fleet)
+        )
