Choose a primary by what every node was told when a replica is silent; tests on stand-ins

Cause: two replicas that hold an acknowledged commit between them; the one that has it goes silent, its entry lapses, the primary is lost: the other one was promoted (test_no_promotion_while_a_replica_that_may_know_more_is_silent failed). Also: nobody was a candidate when replicas had no traffic (test_lost_primary_is_replaced failed). Change: lapsed replicas still count as silent; nodes report the highest position they were told when they stop writing; a registered server that owes no answer is a candidate; the order to a new primary is sent only on a recent platform read; a promotion that takes too long is an error instead of a lost task.

--- /dev/null
+++ b/bench/platform_path_test.py
@@ -0,0 +1,349 @@
+"""The whole path on stand-ins of the users' platform, over real sockets."""
+
+import asyncio
+
+import pytest
+
+from bench.platform_cluster import LineClient, PlatformCluster
+
+
+@pytest.fixture
+async def cluster():
+    cluster = PlatformCluster(2)
+    await cluster.start()
+    yield cluster
+    await cluster.stop()
+
+
+async def wait_for(check, limit_s=8.0):
+    deadline_s = asyncio.get_running_loop().time() + limit_s
+    while not await check():
+        assert asyncio.get_running_loop().time() < deadline_s, "not in time"
+        await asyncio.sleep(0.05)
+
+
+async def test_write_is_read_by_its_session_and_by_others(cluster):
+    client = await cluster.connect("own-db", 0)
+    assert (await client.query("WRITE k one")).receipt.startswith("books-0.")
+    answer = await client.query("READ k")
+    assert answer.rows == ("one",) and answer.receipt and answer.state == "I"
+    other = await cluster.connect("main-db", 1)
+    assert (await other.query("READ k")).rows == ("one",)
+
+
+async def test_transaction_commits_with_a_receipt_and_rolls_back(cluster):
+    client = await cluster.connect("main-db")
+    assert (await client.query("BEGIN")).state == "T"
+    assert (await client.query("WRITE k kept")).state == "T"
+    answer = await client.query("COMMIT")
+    assert answer.receipt.startswith("books-0.") and answer.state == "I"
+    await client.query("BEGIN")
+    await client.query("WRITE k dropped")
+    assert (await client.query("ROLLBACK")).state == "I"
+    assert (await client.query("READ k")).rows == ("kept",)
+
+
+async def test_empty_transaction_gets_a_servers_receipt(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("BEGIN")
+    assert (await client.query("COMMIT")).receipt.startswith("books-")
+    await client.query("BEGIN READ")
+    assert (await client.query("COMMIT")).receipt.startswith("books-")
+
+
+async def test_names_and_values_collide_between_clients(cluster):
+    first = await cluster.connect("main-db")
+    second = await cluster.connect("main-db")
+    await first.query("SET tz amsterdam")
+    await second.query("SET tz quito")
+    await first.query("PREPARE s1 WRITE shape-a")
+    await second.query("PREPARE s1 READ shape-b")
+    assert not (await first.query("EXECUTE s1 k seven")).error
+    assert (await second.query("EXECUTE s1 k")).rows == ("seven",)
+    tz_of_write, tz_of_read = (run.values for run in cluster.group.runs[-2:])
+    assert tz_of_write == (("tz", "amsterdam"),)
+    assert tz_of_read == (("tz", "quito"),)
+    await second.query("DEALLOCATE s1")
+    assert (await second.query("EXECUTE s1 k")).error == "UNKNOWN"
+    assert not (await first.query("EXECUTE s1 k eight")).error
+
+
+async def test_unknown_database_is_refused_with_a_close(cluster):
+    with pytest.raises(ConnectionError, match="NODATABASE"):
+        await cluster.connect("nowhere")
+
+
+async def test_broken_and_oversized_messages_disturb_nobody(cluster):
+    bystander = await cluster.connect("main-db")
+    client = await cluster.connect("main-db")
+    assert (await client.query("DANCE now")).error == "MALFORMED"
+    client.writer.write(b"\xff\xfe nonsense\r\n")
+    assert (await client.read_answer()).error in ("MALFORMED", "TOOLARGE", "CLOSED")
+    client = await cluster.connect("main-db")
+    client.writer.write(b"QUERY 1 WRITE k " + b"x" * (1 << 20) + b"\r\n")
+    assert (await client.read_answer()).error == "TOOLARGE"
+    assert not (await bystander.query("WRITE k fine")).error
+
+
+async def test_client_that_leaves_in_a_transaction_is_rolled_back(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("BEGIN")
+    await client.query("WRITE k ghost")
+    client.close()
+    other = await cluster.connect("main-db")
+    assert (await other.query("READ k")).rows == ("none",)
+    await wait_for(lambda: _no_transactions(cluster))
+
+
+async def _no_transactions(cluster):
+    pools = cluster.nodes[0].access.pools.pools_by_server.values()
+    return all(pool.queue.in_use == 0 for pool in pools)
+
+
+async def test_idle_transaction_gives_its_connection_back(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("BEGIN")
+    await client.query("WRITE k idle")
+    await wait_for(lambda: _no_transactions(cluster), 3.0)
+    answer = await client.query("COMMIT")
+    assert answer.error == "ABORTED" and answer.state == "I"
+
+
+async def test_lost_answer_of_a_write_promises_nothing(cluster):
+    client = await cluster.connect("main-db")
+    cluster.group.servers[0].faults.lose_answers = 1
+    assert (await client.query("WRITE k maybe")).error == "INDOUBT"
+    writes = [run for run in cluster.group.runs if run.text == "WRITE k maybe"]
+    assert len(writes) == 1
+
+
+async def test_lost_answer_of_a_read_is_asked_elsewhere(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("WRITE k here")
+    client = await cluster.connect("old-db")
+    for server in cluster.group.servers[1:]:
+        server.faults.lose_answers = 1
+    assert (await client.query("READ k")).receipt
+
+
+async def test_busy_server_is_a_true_refusal(cluster):
+    client = await cluster.connect("main-db")
+    before = len(cluster.group.runs)
+    cluster.group.servers[0].faults.busy = True
+    answer = await client.query("WRITE k busy")
+    assert answer.error == "BUSY" and "retry after" in answer.detail
+    assert len(cluster.group.runs) == before
+
+
+async def test_refused_begin_leaves_no_doubtful_connection(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("SET tz a")
+    cluster.group.servers[0].faults.refuse_own = 1
+    await client.query("READ k")
+    assert (await client.query("READ k")).receipt
+    assert cluster.group.runs[-1].values == (("tz", "a"),)
+
+
+async def test_route_changes_are_in_force_and_never_go_back(cluster):
+    await cluster.put_configuration(routes={"new-db": ("primary", None)})
+
+    async def knows_new():
+        try:
+            client = await cluster.connect("new-db", 1)
+        except ConnectionError:
+            return False
+        client.close()
+        return True
+
+    await wait_for(knows_new, 3.0)
+    await cluster.put_configuration(version=1, routes={})
+    await asyncio.sleep(0.3)
+    assert await knows_new()
+
+
+async def test_history_that_is_gone_leads_to_a_new_list(cluster):
+    cluster.store.faults.down = True
+    await asyncio.sleep(0.3)
+    await cluster.put_configuration(routes={"late-db": ("primary", None)})
+    await cluster.store.forget_history()
+    cluster.store.faults.down = False
+
+    async def knows_late():
+        try:
+            (await cluster.connect("late-db")).close()
+        except ConnectionError:
+            return False
+        return True
+
+    await wait_for(knows_late, 4.0)
+
+
+async def test_malformed_entries_name_no_server_and_others_hold(cluster):
+    await cluster.store.put("servers", "odd-1", {"service": 5})
+    await cluster.store.put("servers", "odd-2", "bytes")
+    good = cluster.group.servers[0].make_entry()
+    await cluster.store.put("servers", "odd-3", {**good, "state": "dancing"})
+    await asyncio.sleep(1.2)
+    known = set(cluster.nodes[0].board.inventory.servers_by_id)
+    assert known == {server.server_id for server in cluster.group.servers}
+    assert await cluster.try_write()
+
+
+async def test_address_taken_over_by_another_server_runs_nothing(cluster):
+    """The expected id goes with every start, so a stranger refuses."""
+    entry = cluster.group.servers[1].make_entry()
+    await cluster.store.put("servers", "books-old", {**entry, "born": 99})
+    await asyncio.sleep(1.2)
+    client = await cluster.connect("old-db")
+    for _ in range(10):
+        assert (await client.query("READ k")).receipt
+    assert all(run.server_id != "books-old" for run in cluster.group.runs)
+
+
+async def test_lost_primary_is_replaced_and_no_commit_is_lost(cluster):
+    client = await cluster.connect("main-db", 1)
+    acknowledged = []
+    for number in range(20):
+        answer = await client.query(f"WRITE k{number} v{number}")
+        if not answer.error:
+            acknowledged.append(number)
+    await cluster.group.servers[0].stop()
+    await wait_for(lambda: cluster.try_write(1), 12.0)
+    assert len(acknowledged) == 20
+    reader = await cluster.connect("main-db", 0)
+    for number in acknowledged:
+        assert (await reader.query(f"READ k{number}")).rows == (f"v{number}",)
+    fences = [fence for *_, fence in cluster.store.promotions]
+    assert fences == sorted(fences) and len(fences) >= 1
+
+    async def nobody_is_held():
+        running = [item for item in cluster.group.servers if item.is_running]
+        return not any(item.held_for for item in running)
+
+    await wait_for(nobody_is_held, 4.0)
+
+
+async def test_replica_that_missed_commits_is_not_promoted(cluster):
+    cluster.group.deaf.add("books-1")
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    await cluster.group.servers[0].stop()
+
+    async def is_promoted():
+        return cluster.group.by_id("books-2").is_primary
+
+    await wait_for(is_promoted, 12.0)
+    assert not cluster.group.by_id("books-1").is_primary
+    cluster.group.deaf.clear()
+    await wait_for(lambda: cluster.try_write(1), 12.0)
+    reader = await cluster.connect("main-db", 1)
+    assert (await reader.query("READ k")).rows == ("only-on-2",)
+
+
+async def test_silent_replica_is_no_obstacle_when_all_nodes_know_the_log(cluster):
+    """Every node tells what it was told; the live replica has all of that."""
+    await cluster.group.by_id("books-2").stop()
+    await asyncio.sleep(0.5)
+    for number in (0, 1):
+        client = await cluster.connect("main-db", number)
+        assert not (await client.query(f"WRITE k{number} on-1")).error
+    await cluster.group.servers[0].stop()
+
+    async def is_promoted():
+        return cluster.group.by_id("books-1").is_primary
+
+    await wait_for(is_promoted, 8.0)
+
+
+async def test_no_promotion_while_a_replica_that_may_know_more_is_silent(cluster):
+    cluster.group.deaf.add("books-1")
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    await cluster.group.by_id("books-2").stop()
+    await cluster.group.servers[0].stop()
+    await asyncio.sleep(3.0)
+    assert not cluster.group.by_id("books-1").is_primary
+    cluster.group.deaf.clear()
+    await cluster.group.by_id("books-2").start()
+    await wait_for(lambda: cluster.try_write(1), 15.0)
+    reader = await cluster.connect("main-db", 1)
+    assert (await reader.query("READ k")).rows == ("only-on-2",)
+
+
+async def test_leaving_primary_is_replaced_before_it_ends(cluster):
+    cluster.group.servers[0].draining = True
+
+    async def is_replaced():
+        return not cluster.group.servers[0].is_primary and await cluster.try_write()
+
+    await wait_for(is_replaced, 6.0)
+    assert await cluster.try_write()
+
+
+async def test_writes_go_on_while_the_store_is_away(cluster):
+    cluster.store.faults.down = True
+    for _ in range(16):
+        assert await cluster.try_write(0) and await cluster.try_write(1)
+        await asyncio.sleep(0.25)
+
+
+async def test_node_without_permit_refuses_at_once(cluster):
+    cluster.store.faults.down = True
+    await cluster.nodes[1].abandon()
+    await asyncio.sleep(3.5)
+    client = await cluster.connect("main-db", 0)
+    started_s = asyncio.get_running_loop().time()
+    answer = await client.query("WRITE k no")
+    assert answer.error == "BUSY" and "retry after" in answer.detail
+    assert asyncio.get_running_loop().time() - started_s < 0.1
+
+
+async def test_graceful_stop_finishes_what_is_in_flight(cluster):
+    cluster.group.work_s = 0.05
+    busy = await cluster.connect("main-db", 0)
+    idle = await cluster.connect("main-db", 0)
+    await busy.query("BEGIN")
+    stopping = asyncio.create_task(cluster.nodes[0].stop())
+    await asyncio.sleep(0.1)
+    assert not (await busy.query("WRITE k last")).error
+    assert not (await busy.query("COMMIT")).error
+    assert (await idle.read_answer()).error == "CLOSED"
+    await stopping
+
+    async def has_left():
+        return "node-0" not in cluster.nodes[1].board.fleet.members_by_id
+
+    await wait_for(has_left, 2.0)
+
+
+async def test_all_processes_restart_with_no_state_of_their_own(cluster):
+    assert await cluster.try_write(0, "before")
+    for node in cluster.nodes:
+        await node.abandon()
+    cluster.nodes.clear()
+    await cluster.add_node(0)
+    await cluster.add_node(1)
+    await cluster.wait_until_writable()
+    client = await cluster.connect("main-db")
+    assert (await client.query("READ before")).rows == ("up",)
+
+
+async def test_lost_answers_of_the_store_do_not_stop_joining():
+    cluster = PlatformCluster(3)
+    cluster.store.faults.lose_answers = 0.5
+    try:
+        await cluster.start()
+
+        async def have_all_joined():
+            return len(cluster.nodes[0].board.fleet.members_by_id) == 3
+
+        await wait_for(have_all_joined)
+    finally:
+        cluster.store.faults.lose_answers = 0.0
+        await cluster.stop()
+
+
+async def test_refused_start_is_told_to_a_client_as_it_is(cluster):
+    reader, writer = await asyncio.open_connection("127.0.0.1", cluster.port())
+    writer.write(b"HELLO\r\n")
+    assert (await LineClient(reader, writer).read_answer()).error == "MALFORMED"
--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,8 @@
 """Settings of the test run: fixed seeds, printed, and no wall-clock bounds."""
 
+import logging
+
+import structlog
 from hypothesis import settings
 
 SEED = 20261204
@@ -9,6 +12,8 @@
 )
 settings.load_profile("ci")
 
+structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+
 
 def pytest_report_header() -> str:
     """Return the line that names the seed.
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -22,7 +22,7 @@
 )
 from pollencleat.core.effects import Effect
 from pollencleat.core.index import FleetIndex, make_fleet_index
-from pollencleat.core.messages import Envelope, PeerMessage, Versions
+from pollencleat.core.messages import Envelope, PeerMessage, SeenPosition, Versions
 
 PRIMARY_SAMPLES_KEPT = 256
 """Position samples of a primary that are kept for bounding the age of replicas."""
@@ -232,6 +232,21 @@
         """
         return self.servers_by_id.setdefault(server_id, ServerView())
 
+    def seen_positions(self, now_s: float) -> dict[str, SeenPosition]:
+        """Return what primaries told this node of their logs.
+
+        Args:
+            now_s: Local time.
+
+        Returns:
+            The highest position of each group and the age of the newest answer.
+        """
+        return {
+            group_id: SeenPosition(bounds.highest, now_s - bounds.newest_sent_at_s)
+            for group_id, bounds in self.bounds_by_group.items()
+            if bounds.highest is not None
+        }
+
     def adopt_fleet(self, fleet: Fleet, now_s: float) -> bool:
         """Take over a fleet state if it is newer.
 
--- a/pollencleat/core/bounds.py
+++ b/pollencleat/core/bounds.py
@@ -20,9 +20,17 @@
 
 @dataclass(slots=True)
 class AcknowledgedBounds:
-    """Positions of one term's primary, with the times at which they were asked for."""
+    """Positions of one term's primary, with the times at which they were asked for.
+
+    Attributes:
+        highest: The highest position of any term; whatever this node has acknowledged
+            lies at or below it.
+        newest_sent_at_s: When the newest answered request was sent.
+    """
 
     term: int = 0
+    highest: Position | None = None
+    newest_sent_at_s: float = -1e9
     entries: deque[tuple[float, Position]] = field(default_factory=deque)
 
     def add(self, term: int, sent_at_s: float, position: Position) -> None:
@@ -35,6 +43,9 @@
         """
         if term < self.term:
             return
+        if self.highest is None or is_before(self.highest, position):
+            self.highest = position
+        self.newest_sent_at_s = max(self.newest_sent_at_s, sent_at_s)
         if term > self.term:
             self.term = term
             self.entries.clear()
--- a/pollencleat/core/constants.py
+++ b/pollencleat/core/constants.py
@@ -1,7 +1,11 @@
 """Times and sizes that several packages share."""
 
 BEAT_S = 0.4
-"""Seconds between two heartbeats to a relay, and between two platform reads."""
+"""Seconds between two heartbeats to a relay, and between two platform reads of a node
+that is joining or changes a primary."""
+
+READ_S = 0.8
+"""Seconds between two platform reads of a relay while nothing is changing."""
 
 PERMIT_S = 2.5
 """Seconds after a platform read was sent during which writes may rest on it."""
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -298,12 +298,15 @@
         leaving: Machines and servers that are about to end.
         servers_by_id: Servers that registered themselves; empty where the inventory
             declares them.
+        lapsed_by_group: Servers that went silent without leaving; they may return with
+            their logs.
     """
 
     version: int = 0
     live: tuple[str, ...] | None = ()
     leaving: tuple[str, ...] = ()
     servers_by_id: dict[str, BackendServer] = field(default_factory=dict)
+    lapsed_by_group: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from pollencleat.core.data import Fleet, Inventory, VmList
+from pollencleat.core.data import Fleet, Inventory, Position, VmList
 
 
 class Versions(msgspec.Struct, frozen=True, array_like=True):
@@ -75,6 +75,17 @@
     vms: VmList | None
 
 
+class SeenPosition(msgspec.Struct, frozen=True, array_like=True):
+    """The highest position that a node was told by a group's primary.
+
+    Attributes:
+        age_s: Time since the request that the newest such answer belongs to.
+    """
+
+    position: Position
+    age_s: float
+
+
 class StopWrites(msgspec.Struct, frozen=True, array_like=True, tag="stop_writes"):
     """Asks a member to adopt the fleet state of a promotion."""
 
@@ -84,11 +95,16 @@
 
 
 class WritesStopped(msgspec.Struct, frozen=True, array_like=True, tag="writes_stopped"):
-    """The sender adopted the promotion and writes under no older term."""
+    """The sender adopted the promotion and writes under no older term.
+
+    Attributes:
+        seen_by_group: For each group, what the sender knows of its log.
+    """
 
     node_id: str
     incarnation: str
     attempt_id: str
+    seen_by_group: dict[str, SeenPosition] = {}
 
 
 class SightingRequest(
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -164,7 +164,12 @@
         board.adopt_fleet(message.fleet, now_s)
         board.send(
             message.node_id,
-            WritesStopped(board.node_id, board.incarnation, message.attempt_id),
+            WritesStopped(
+                board.node_id,
+                board.incarnation,
+                message.attempt_id,
+                board.seen_positions(now_s),
+            ),
         )
 
     def _confirm_fresh(self, read_sent_at_s: float) -> None:
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -16,6 +16,9 @@
 """Time after the store's return within which live servers are registered again; from
 the platform's description."""
 
+LAPSED_KEPT = 8
+"""Lapsed servers of a group that are remembered besides the newest."""
+
 log = structlog.get_logger()
 
 
@@ -28,6 +31,7 @@
         self._clock = clock
         self._servers_by_id: dict[str, BackendServer] = {}
         self._leaving: set[str] = set()
+        self._lapsed_by_group: dict[str, tuple[str, ...]] = {}
         self._missing_since_s: dict[str, float] = {}
         self._is_away = False
         self._returned_at_s = -1e9
@@ -74,6 +78,7 @@
         """
         server_id = server.server_id
         self._missing_since_s.pop(server_id, None)
+        self._forget_lapse(server)
         known = self._servers_by_id.get(server_id)
         if known == server and (server_id in self._leaving) == leaving:
             return
@@ -94,6 +99,13 @@
             revision=revision,
         )
 
+    def _forget_lapse(self, server: BackendServer) -> None:
+        lapsed = self._lapsed_by_group.get(server.group_id, ())
+        if server.server_id in lapsed:
+            self._lapsed_by_group[server.group_id] = tuple(
+                name for name in lapsed if name != server.server_id
+            )
+
     def remove(self, server_id: str, revision: int) -> None:
         """Take in that an entry is gone.
 
@@ -110,9 +122,16 @@
         self._drop(server_id, revision)
 
     def _drop(self, server_id: str, revision: int) -> None:
-        del self._servers_by_id[server_id]
+        server = self._servers_by_id.pop(server_id)
         self._missing_since_s.pop(server_id, None)
-        self._leaving.discard(server_id)
+        if server_id in self._leaving:
+            self._leaving.discard(server_id)
+        else:
+            lapsed = self._lapsed_by_group.get(server.group_id, ())
+            self._lapsed_by_group[server.group_id] = (
+                *lapsed[-LAPSED_KEPT:],
+                server_id,
+            )
         self._changed_revision = max(self._changed_revision, revision)
         log.info("server gone", server=server_id, revision=revision)
 
@@ -137,5 +156,6 @@
                 None,
                 tuple(sorted(self._leaving)),
                 dict(self._servers_by_id),
+                dict(self._lapsed_by_group),
             )
         )
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -34,6 +34,9 @@
 RETRY_S = 0.3
 """Shortest time between two changes that this node tries."""
 
+RESIGN_RETRY_S = 0.05
+"""Shortest time between two tries to resign; the process is about to be killed."""
+
 VOUCH_AFTER_S = PROMISE_S * (1 + 3 * CLOCK_DRIFT)
 FORGET_AFTER_S = 8 * PERMIT_S
 """A removed member is forgotten after this time."""
@@ -59,7 +62,8 @@
         platform_seen_at_s = max(board.read_answered_at_s, board.fresh_at_s)
         if self._pending or now_s - platform_seen_at_s > READ_IS_RECENT_S:
             return
-        if now_s - self._tried_at_s < RETRY_S * (1 + board.random.random()):
+        wait_s = RESIGN_RETRY_S if board.resigning else RETRY_S
+        if now_s - self._tried_at_s < wait_s * (1 + board.random.random()):
             return
         change = self._choose_change(now_s)
         if change is None:
--- a/pollencleat/platform/application.py
+++ b/pollencleat/platform/application.py
@@ -32,6 +32,7 @@
     make_inventory_watcher,
     make_servers_watcher,
 )
+from pollencleat.promotion.attempt import may_name_primary
 from pollencleat.reports.logs import BoundedOutput
 
 FOLLOW_S = 0.05
@@ -68,7 +69,9 @@
         self.settings = settings
         self._output = output
         self.client = ObjectClient(settings.store)
-        self.orders = PlatformOrders(self.board, settings.promotion)
+        self.orders = PlatformOrders(
+            self.board, settings.promotion, self._may_name_primary
+        )
         self.access = ServerAccess(
             self.board, self.metrics, read_boottime_s, self._make_pool
         )
@@ -85,12 +88,16 @@
         self.endpoints = HttpEndpoints()
         self._idle_check: asyncio.Task | None = None
         self._was_ready = False
+        self.ready_port = 0
 
     def _make_pool(self, server: BackendServer) -> ServerPool:
         return ServerPool(
             server, lambda: open_server_connection(server), read_boottime_s
         )
 
+    def _may_name_primary(self, group_id: str, fence: int) -> bool:
+        return may_name_primary(self.board, group_id, fence, read_boottime_s())
+
     def _is_known_key(self, key: bytes) -> bool:
         text = key.decode()
         members = self.board.fleet.members_by_id.values()
@@ -102,7 +109,7 @@
         endpoint = f"tcp://{settings.host}:{settings.peers_port}"
         self.board.address = self.transport.start(endpoint)
         self.on_stop.append(self._stop_transport)
-        await self.endpoints.serve_readiness(
+        self.ready_port = await self.endpoints.serve_readiness(
             settings.readiness.host, settings.readiness.port, self._is_ready
         )
         await self.endpoints.serve_metrics(
@@ -181,6 +188,16 @@
         log.info("stopped", node=self.settings.node_id, clean=is_clean)
         self._output.flush()
 
+    async def abandon(self) -> None:
+        """Let go of everything at once, as the end of the process would."""
+        await self.listener.abandon()
+        self.liveness.close()
+        self.access.close()
+        await self.close_runtime()
+        await self.orders.close()
+        await self.client.close()
+        self.metrics.close()
+
     async def _stop_transport(self) -> None:
         self.transport.close()
 
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -152,6 +152,10 @@
         """Close the connection."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Break the connection."""
+        self._writer.transport.abort()
+
 
 class ClientListener:
     """Listens for callers and keeps their connections."""
@@ -161,21 +165,19 @@
         self._access = access
         self._server: asyncio.Server | None = None
         self.connections: set[ClientConnection] = set()
+        self.port = 0
 
-    async def start(self, host: str, port: int) -> int:
-        """Listen.
+    async def start(self, host: str, port: int) -> None:
+        """Listen; the port is known afterwards.
 
         Args:
             host: Address.
             port: Port, or 0 for one that the system chooses.
-
-        Returns:
-            The port.
         """
         self._server = await asyncio.start_server(
             self._serve, host, port, limit=MAX_LINE_BYTES, backlog=LISTEN_BACKLOG
         )
-        return self._server.sockets[0].getsockname()[1]
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -191,6 +193,13 @@
             self.connections.discard(connection)
             writer.close()
 
+    async def abandon(self) -> None:
+        """Break every connection at once, as the end of the process does."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.abort()
+
     async def end_idle_transactions(self) -> None:
         """Let go of servers that idle transactions hold."""
         now_s = self._access.clock()
--- a/pollencleat/platform/endpoints.py
+++ b/pollencleat/platform/endpoints.py
@@ -19,19 +19,22 @@
 
     async def serve_readiness(
         self, host: str, port: int, is_ready: Callable[[], bool]
-    ) -> None:
+    ) -> int:
         """Answer whether this node takes new connections.
 
         Args:
             host: Address.
             port: Port.
             is_ready: Asked for each request.
+
+        Returns:
+            The port.
         """
 
         async def handle(request: web.Request) -> web.Response:
             return web.Response(status=200 if is_ready() else 503)
 
-        await self._serve(host, port, READY_PATH, handle)
+        return await self._serve(host, port, READY_PATH, handle)
 
     async def serve_metrics(self, host: str, port: int, metrics: Metrics) -> None:
         """Serve all metrics in the text form that scrapers read.
@@ -47,13 +50,14 @@
 
         await self._serve(host, port, METRICS_PATH, handle)
 
-    async def _serve(self, host: str, port: int, path: str, handle: Callable) -> None:
+    async def _serve(self, host: str, port: int, path: str, handle: Callable) -> int:
         app = web.Application()
         app.router.add_get(path, handle)
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         await web.TCPSite(runner, host, port).start()
         self._runners.append(runner)
+        return runner.addresses[0][1]
 
     async def close(self) -> None:
         """Stop listening."""
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -29,9 +29,18 @@
 class PlatformOrders:
     """Carries orders over one connection to each server."""
 
-    def __init__(self, board: Blackboard, promotion: Endpoint) -> None:
-        """Use the platform's promotion service at an address."""
+    def __init__(
+        self,
+        board: Blackboard,
+        promotion: Endpoint,
+        may_name_primary: Callable[[str, int], bool],
+    ) -> None:
+        """Use the platform's promotion service at an address.
+
+        may_name_primary is asked, with group and fence, right before each call.
+        """
         self._board = board
+        self._may_name_primary = may_name_primary
         self._promotion_url = f"http://{promotion}/promotion"
         self._connections_by_server: dict[str, ServerConnection] = {}
         self._opened_for: dict[str, BackendServer] = {}
@@ -74,12 +83,15 @@
         return TermStart(status.term, status.received_position)
 
     async def _wait_for_lead(self, server_id: str, term: int) -> ServerStatus:
-        async with asyncio.timeout(PROMOTION_LIMIT_S):
-            while True:
-                status = await self.read_status(server_id)
-                if not status.read_only and status.term >= term:
-                    return status
-                await asyncio.sleep(POLL_S)
+        try:
+            async with asyncio.timeout(PROMOTION_LIMIT_S):
+                while True:
+                    status = await self.read_status(server_id)
+                    if not status.read_only and status.term >= term:
+                        return status
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError as error:
+            raise BackendError(f"{server_id} does not lead in time") from error
 
     async def _call_promotion(self, server_id: str, fence: int) -> None:
         server = self._server(server_id)
@@ -88,6 +100,8 @@
             self._session = aiohttp.ClientSession(timeout=timeout)
         headers = {"Duty-Holder": self._board.node_id, "Fencing-Token": str(fence)}
         body = {"service": server.group_id, "id": server_id}
+        if not self._may_name_primary(server.group_id, fence):
+            raise BackendError(f"attempt {fence} may not be the current one")
         try:
             async with self._session.post(
                 self._promotion_url, json=body, headers=headers
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -17,18 +17,25 @@
 from dataclasses import dataclass, field
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import is_before
 from pollencleat.core.constants import CLOCK_DRIFT, PERMIT_S, PROMISE_S
 from pollencleat.core.data import (
     DatabaseGroup,
     GroupTerm,
+    Position,
     Promotion,
     ServerStatus,
     TermStart,
 )
+from pollencleat.core.messages import SeenPosition
 
 REMOVED_WAIT_S = max(PERMIT_S, PROMISE_S) * (1 + 3 * CLOCK_DRIFT)
 """A removed member holds no permit after this time."""
 
+NAME_WITHIN_S = 2.0
+"""Largest age of the platform read on which the order to a new primary may rest; below
+the silence after which another node takes an attempt over."""
+
 
 class Phase(enum.StrEnum):
     """How far an attempt has come."""
@@ -45,10 +52,16 @@
 
     Attributes:
         log_term: Term for orders to servers.
+        stopped_at_s: When the first confirmation arrived, at the latest; ages that
+            members told are counted from here, which makes answers seem older.
         slow_deadline_s: From then on no permit of an older term can be valid.
         waiting_for: Incarnations that have not confirmed.
         old_status: Status of the old primary after it was fenced.
         statuses_by_server: Answers in the current round of questions.
+        seen_by_member: By incarnation, what each node that stopped writing had been
+            told of the group's log.
+        crashed_at_s: Until when a member that cannot tell any more may have
+            acknowledged commits.
     """
 
     group_id: str
@@ -64,7 +77,10 @@
     old_status: ServerStatus | None = None
     chosen: str = ""
     start: TermStart | None = None
+    stopped_at_s: float = 0.0
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
+    seen_by_member: dict[str, SeenPosition | None] = field(default_factory=dict)
+    crashed_at_s: float = -1e9
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Go on to a phase.
@@ -104,9 +120,54 @@
         slow_deadline_s,
         find_possible_writers(board, now_s),
         phase_since_s=now_s,
+        stopped_at_s=now_s,
+        seen_by_member={
+            board.incarnation: board.seen_positions(now_s).get(term.group_id)
+        },
+        crashed_at_s=find_newest_crash(board),
     )
 
 
+def find_newest_crash(board: Blackboard) -> float:
+    """Return until when a member that did not resign may have acknowledged commits.
+
+    Args:
+        board: The node's state.
+
+    Returns:
+        Local time; an answer to a request sent later covers all it acknowledged.
+    """
+    newest_s = -1e9
+    for incarnation, entry in board.fleet.removed_by_incarnation.items():
+        if not entry.resigned:
+            newest_s = max(newest_s, board.removed_seen_at_s[incarnation])
+    return newest_s
+
+
+def may_name_primary(board: Blackboard, group_id: str, term: int, now_s: float) -> bool:
+    """Return whether this node's attempt is certainly still the current one.
+
+    Asked right before the order is sent: an attempt is taken over only after its owner
+    has been silent for longer than NAME_WITHIN_S, and a suspended node wakes up with an
+    old read.
+
+    Args:
+        board: The node's state.
+        group_id: The group.
+        term: Term of the attempt.
+        now_s: Local time, suspended time included.
+
+    Returns:
+        True if a recent platform read showed this node as the promoter of the term.
+    """
+    record = board.group_term(group_id)
+    if record is None or record.term != term or record.promotion is None:
+        return False
+    if record.promotion.incarnation != board.incarnation:
+        return False
+    return now_s - board.fresh_at_s < NAME_WITHIN_S
+
+
 def find_possible_writers(board: Blackboard, now_s: float) -> set[str]:
     """Return the incarnations that may still write under an older term.
 
@@ -165,18 +226,23 @@
 
 
 def has_every_acknowledged_commit(
-    attempt: Attempt, group: DatabaseGroup, server_id: str
+    attempt: Attempt,
+    group: DatabaseGroup,
+    server_id: str,
+    lapsed: tuple[str, ...] = (),
 ) -> bool:
     """Return whether no acknowledged commit can be missing from a chosen server.
 
     A commit that needs k replicas for its acknowledgement is on one of the replicas
     that were held unless k or more could not be asked; the chosen server is the most
-    advanced of them.  Otherwise only the final position of the old primary tells.
+    advanced of them.  Otherwise the final position of the old primary tells, or what
+    the nodes were told: every acknowledgement passed through one of them.
 
     Args:
         attempt: With the answers of the current round; all who answered are held.
         group: The group.
         server_id: The chosen server.
+        lapsed: Replicas that are not registered any more, but may hold commits.
 
     Returns:
         True if the choice is safe, or if the group does not promise to keep commits.
@@ -185,7 +251,7 @@
         return True
     silent = [
         name
-        for name in group.server_ids
+        for name in (*group.server_ids, *lapsed)
         if name != attempt.promotion.old_primary
         and attempt.statuses_by_server.get(name) is None
     ]
@@ -194,13 +260,35 @@
     old = attempt.old_status
     if old is None:
         old = attempt.statuses_by_server.get(attempt.promotion.old_primary)
-    if old is None:
-        return False
     status = attempt.statuses_by_server[server_id]
-    return (status.last_entry_term, status.received_position) >= (
-        old.last_entry_term,
-        old.received_position,
-    )
+    log_end = (status.last_entry_term, status.received_position)
+    if old is not None and log_end >= (old.last_entry_term, old.received_position):
+        return True
+    seen = find_highest_seen(attempt)
+    return seen is not None and log_end >= (seen.term, seen.position)
+
+
+def find_highest_seen(attempt: Attempt) -> Position | None:
+    """Return a position that no acknowledged commit lies beyond.
+
+    Args:
+        attempt: With what the members told.
+
+    Returns:
+        The highest position that any member was told; None if one has not answered, or
+        if a member that crashed may have acknowledged later ones.
+    """
+    if attempt.waiting_for:
+        return None
+    highest = None
+    newest_s = -1e9
+    for seen in attempt.seen_by_member.values():
+        if seen is None:
+            continue
+        newest_s = max(newest_s, attempt.stopped_at_s - seen.age_s)
+        if highest is None or is_before(highest, seen.position):
+            highest = seen.position
+    return highest if newest_s > attempt.crashed_at_s else None
 
 
 def is_caught_up(attempt: Attempt, server_id: str) -> bool:
--- /dev/null
+++ b/pollencleat/promotion/attempt_test.py
@@ -0,0 +1,81 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollencleat.core.data import DatabaseGroup, Promotion, ServerStatus
+from pollencleat.promotion.attempt import (
+    Attempt,
+    choose_server,
+    has_every_acknowledged_commit,
+)
+
+SERVERS = ("old", "r1", "r2", "r3")
+
+
+def make_status(position, read_only=True, term=3):
+    return ServerStatus(term, position, position, term, read_only, None)
+
+
+def make_attempt(statuses, old_status=None, old_primary="old"):
+    promotion = Promotion("a/1", "n", "n-1", old_primary, False, "lost")
+    attempt = Attempt("g", 2, 4, promotion, 0.0, 0.0, set())
+    attempt.statuses_by_server = statuses
+    attempt.old_status = old_status
+    return attempt
+
+
+def make_group(count, servers=SERVERS):
+    return DatabaseGroup("g", "g", (), servers, count)
+
+
+@given(
+    st.integers(1, 2),
+    st.lists(st.integers(0, 9), min_size=3, max_size=3),
+    st.sets(st.sampled_from(("r1", "r2", "r3"))),
+    st.booleans(),
+)
+def test_choice_holds_every_acknowledged_commit(count, logs, silent, old_tells):
+    """A commit is acknowledged once ``count`` replicas have it."""
+    logs_by_id = dict(zip(("r1", "r2", "r3"), logs, strict=True))
+    acknowledged = sorted(logs, reverse=True)[count - 1]
+    old_position = max(logs)
+    statuses = {
+        name: None if name in silent else make_status(position)
+        for name, position in logs_by_id.items()
+    }
+    attempt = make_attempt(
+        {**statuses, "old": None}, make_status(old_position) if old_tells else None
+    )
+    chosen = choose_server(attempt, SERVERS, ())
+    if chosen is None:
+        return
+    if has_every_acknowledged_commit(attempt, make_group(count), chosen):
+        assert logs_by_id[chosen] >= acknowledged
+
+
+def test_one_silent_replica_of_two_forbids_the_choice():
+    attempt = make_attempt({"old": None, "r1": make_status(5), "r2": None})
+    group = make_group(1, ("old", "r1", "r2"))
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
+    attempt.old_status = make_status(5)
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+    attempt.old_status = make_status(6)
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
+
+
+def test_group_without_acknowledging_replicas_is_never_held_up():
+    attempt = make_attempt({"r1": make_status(1), "r2": None})
+    assert has_every_acknowledged_commit(attempt, make_group(0), "r1")
+
+
+def test_first_primary_is_the_one_that_leads_already():
+    statuses = {
+        "r1": make_status(7),
+        "r2": make_status(7, read_only=False),
+        "r3": make_status(7),
+    }
+    assert choose_server(make_attempt(statuses, old_primary=""), SERVERS, ()) == "r2"
+
+
+def test_higher_term_goes_before_a_longer_log():
+    statuses = {"r1": make_status(9, term=3), "r2": make_status(2, term=4)}
+    assert choose_server(make_attempt(statuses), SERVERS, ()) == "r2"
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -218,8 +218,19 @@
                 continue
             if now_s - board.server(server_id).answered_at_s < FAILOVER_AFTER_S:
                 return True
+            if self._is_registered_and_owes_nothing(server_id):
+                return True
         return term is None
 
+    def _is_registered_and_owes_nothing(self, server_id: str) -> bool:
+        """Return whether a server that nobody samples may be taken as alive."""
+        if server_id not in self.board.vms.servers_by_id:
+            return False
+        view = self.board.server(server_id)
+        if view.refused_at_s is not None:
+            return False
+        return view.asked_at_s is None or view.answered_at_s >= view.asked_at_s
+
     def _rank(self, group_id: str) -> int:
         candidates = [
             member
@@ -408,6 +419,9 @@
             if attempt.promotion.attempt_id != message.attempt_id:
                 continue
             attempt.waiting_for.discard(message.incarnation)
+            attempt.seen_by_member[message.incarnation] = message.seen_by_group.get(
+                attempt.group_id
+            )
         self._advance_attempts(now_s)
 
     def on_fenced(self, result: ServerFenced) -> None:
@@ -471,7 +485,8 @@
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
             return
-        if not has_every_acknowledged_commit(attempt, group, chosen):
+        lapsed = self.board.vms.lapsed_by_group.get(attempt.group_id, ())
+        if not has_every_acknowledged_commit(attempt, group, chosen, lapsed):
             return
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
             if len(attempt.statuses_by_server) == len(server_ids):
--- /dev/null
+++ b/standins/line_server.py
@@ -0,0 +1,449 @@
+"""A stand-in for the users' database servers and their line protocol.
+
+A group has one log.  Replicas receive entries after a delay, and commits wait for as
+many of them as the group's synchronous count.  Every server checks for itself what a
+careless proxy would do to it, and records what it ran.
+"""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+
+MAX_LINE_BYTES = 1024 * 1024
+POLL_S = 0.002
+ACKNOWLEDGE_LIMIT_S = 2.0
+"""How long a commit waits for replicas before it fails."""
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """A committed write and its place in the log."""
+
+    term: int
+    number: int
+    item: str
+    data: str
+    request_id: str
+
+
+@dataclass
+class ServerFaults:
+    """What a server does wrong at the moment.
+
+    Attributes:
+        lose_answers: Number of answers to reads, writes and commits that are lost.
+        busy: Statements that take a slot are refused.
+        silent: Nothing is answered.
+        refuse_own: Number of the proxy's own statements that are refused.
+    """
+
+    lose_answers: int = 0
+    busy: bool = False
+    silent: bool = False
+    refuse_own: int = 0
+
+
+@dataclass
+class _Session:
+    values: dict[str, str] = field(default_factory=dict)
+    shapes: dict[str, tuple[str, str]] = field(default_factory=dict)
+    in_transaction: bool = False
+    read_only: bool = False
+    writes: list[tuple[str, str, str]] = field(default_factory=list)
+    term: int = 0
+
+
+@dataclass(frozen=True)
+class Run:
+    """A statement that a server ran, with the session values that it saw."""
+
+    server_id: str
+    request_id: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+
+
+class LineServer:
+    """One server of a group."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, group: "ServerGroup", server_id: str, zone: str) -> None:
+        """Belong to a group; start listens."""
+        self.group = group
+        self.server_id = server_id
+        self.zone = zone
+        self.log: list[LogEntry] = []
+        self.applied = 0
+        self.term = group.first_term
+        self.held_for = 0
+        self.is_primary = False
+        self.draining = False
+        self.faults = ServerFaults()
+        self.born = next(self._numbers)
+        self.connections = 0
+        self.sequence = 0
+        self.status_calls = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on loopback, at the same port as before if there was one."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, limit=MAX_LINE_BYTES
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """End as a crash does: connections break, the log stays."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
+    async def restart_empty(self) -> None:
+        """Start again under the same id and address with nothing in the log."""
+        await self.stop()
+        self.log = []
+        self.applied = 0
+        self.is_primary = False
+        self.held_for = 0
+        self.born = next(self._numbers)
+        await self.start()
+
+    def make_entry(self) -> dict | None:
+        """Return what the server writes about itself, or None while it is down."""
+        if not self.is_running:
+            return None
+        self.sequence += 1
+        return {
+            "service": self.group.name,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": "draining" if self.draining else "ready",
+            "cold_remaining_ms": 0,
+            "database_role": "primary" if self.is_primary else "replica",
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    def position(self) -> str:
+        """Return the position of the last applied entry."""
+        return _position_of(self.log[: self.applied], self.group.first_term)
+
+    def received(self) -> str:
+        """Return the position of the last received entry."""
+        return _position_of(self.log, self.group.first_term)
+
+    def has_applied(self, position: str) -> bool:
+        """Return whether the log holds a position of the group's history."""
+        wanted = tuple(int(part) for part in position.split("."))
+        mine = tuple(int(part) for part in self.position().split("."))
+        return mine >= wanted
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        self.connections += 1
+        session = _Session()
+        try:
+            start = (await reader.readuntil(b"\n")).decode().split()
+            if not self._accepts(start):
+                writer.write(b"ERROR MISROUTED another server\r\n")
+                return
+            if self.connections > self.group.connection_limit:
+                writer.write(b"ERROR TOOMANY\r\n")
+                return
+            writer.write(f"READY I {self.position()}\r\n".encode())
+            while True:
+                line = (await reader.readuntil(b"\n")).decode().rstrip("\r\n")
+                if line == "TERMINATE":
+                    return
+                _, request_id, text = line.split(" ", 2)
+                answer = await self._answer(session, request_id, text)
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer.encode())
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self.connections -= 1
+            self._writers.discard(writer)
+            writer.close()
+
+    def _accepts(self, start: list[str]) -> bool:
+        if len(start) < 3 or start[0] != "STARTUP" or start[1] != self.group.name:
+            return False
+        return len(start) < 4 or start[3] == self.server_id
+
+    async def _answer(
+        self, session: _Session, request_id: str, text: str
+    ) -> str | None:
+        while self.faults.silent:
+            await asyncio.sleep(POLL_S)
+        if request_id == "-" and self.faults.refuse_own:
+            self.faults.refuse_own -= 1
+            return self._error(session, "BUSY")
+        words = text.split(" ")
+        if words[0] == "WAITFOR":
+            if not self.has_applied(words[1]):
+                return self._error(session, "LAGGING")
+            words = words[2:]
+        text = " ".join(words)
+        if words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT") and self.faults.busy:
+            return self._error(session, "BUSY")
+        lines = await self._run(session, request_id, words, text)
+        runs_on_data = words[0] in ("READ", "WRITE", "EXECUTE", "COMMIT")
+        if runs_on_data and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return None
+        return lines
+
+    async def _run(
+        self, session: _Session, request_id: str, words: list[str], text: str
+    ) -> str:
+        verb = words[0]
+        if verb == "SET":
+            session.values[words[1]] = " ".join(words[2:])
+        elif verb == "PREPARE":
+            session.shapes[words[1]] = (words[2], " ".join(words[3:]))
+        elif verb == "DISCARD":
+            session.values.clear()
+            session.shapes.clear()
+        elif verb == "BEGIN":
+            if len(words) == 1 and not self.is_primary:
+                return self._error(session, "READONLY")
+            session.in_transaction = True
+            session.read_only = len(words) > 1
+            session.term = self.term
+        elif verb == "ROLLBACK":
+            session.in_transaction = False
+            session.writes.clear()
+        elif verb == "COMMIT":
+            return await self._commit(session, request_id)
+        elif verb in ("READ", "WRITE", "EXECUTE"):
+            return await self._work(session, request_id, words, text)
+        else:
+            return self._order(session, words)
+        return f"COMPLETE -\r\n{self._ready(session)}"
+
+    async def _work(
+        self, session: _Session, request_id: str, words: list[str], text: str
+    ) -> str:
+        access, item, data = words[0], words[1], " ".join(words[2:])
+        if access == "EXECUTE":
+            shape = session.shapes.get(words[1])
+            if shape is None:
+                return self._error(session, "UNKNOWN")
+            access, item, data = shape[0], words[2], " ".join(words[3:])
+        if access == "WRITE" and not self.is_primary:
+            return self._error(session, "READONLY")
+        if session.in_transaction and not session.read_only and not self.is_primary:
+            return self._error(session, "READONLY")
+        await asyncio.sleep(self.group.work_s)
+        self.group.runs.append(
+            Run(self.server_id, request_id, text, tuple(sorted(session.values.items())))
+        )
+        receipt = f"{self.server_id}.{request_id}"
+        if access == "READ":
+            return (
+                f"DATAROW {self._value_of(session, item)}\r\nCOMPLETE {receipt}\r\n"
+                + self._ready(session)
+            )
+        session.writes.append((item, data, request_id))
+        if not session.in_transaction and not await self._append(session):
+            return self._error(session, "FAILED")
+        return f"COMPLETE {receipt}\r\n{self._ready(session)}"
+
+    def _value_of(self, session: _Session, item: str) -> str:
+        for written, data, _ in reversed(session.writes):
+            if written == item:
+                return data
+        for entry in reversed(self.log[: self.applied]):
+            if entry.item == item:
+                return entry.data
+        return "none"
+
+    async def _commit(self, session: _Session, request_id: str) -> str:
+        if session.writes and not self.is_primary:
+            session.in_transaction = False
+            session.writes.clear()
+            return self._error(session, "READONLY")
+        done = await self._append(session)
+        session.in_transaction = False
+        if not done:
+            return self._error(session, "FAILED")
+        receipt = f"{self.server_id}.{request_id}"
+        return f"COMPLETE {receipt}\r\n{self._ready(session)}"
+
+    async def _append(self, session: _Session) -> bool:
+        """Commit the session's writes; False if replicas did not receive them."""
+        writes, session.writes = session.writes, []
+        for item, data, request_id in writes:
+            number = self.log[-1].number + 1 if self.log else 1
+            self.log.append(LogEntry(self.term, number, item, data, request_id))
+        self.applied = len(self.log)
+        if not writes:
+            return True
+        self.group.replicate(self)
+        return await self.group.wait_for_replicas(self, self.log[-1])
+
+    def _order(self, session: _Session, words: list[str]) -> str:
+        verb = words[0]
+        if verb == "STATUS":
+            self.status_calls += 1
+        elif verb == "PAUSE":
+            if int(words[1]) > self.term:
+                self.held_for = int(words[1])
+        elif verb == "RESUME":
+            self.held_for = 0
+            self.group.catch_up(self)
+        elif verb == "STEPDOWN":
+            if self.is_primary and self.term < int(words[1]):
+                self.is_primary = False
+        else:
+            return self._error(session, "MALFORMED")
+        role = "primary" if self.is_primary else "replica"
+        row = f"{role} {self.term} {self.received()} {self.held_for} 0 0 1"
+        return f"DATAROW {row}\r\nCOMPLETE -\r\n{self._ready(session)}"
+
+    def _error(self, session: _Session, code: str) -> str:
+        return f"ERROR {code} {self.server_id}\r\n{self._ready(session)}"
+
+    def _ready(self, session: _Session) -> str:
+        state = "T" if session.in_transaction else "I"
+        return f"READY {state} {self.position()}\r\n"
+
+
+def _position_of(log: list[LogEntry], first_term: int) -> str:
+    if not log:
+        return f"{first_term}.0"
+    return f"{log[-1].term}.{log[-1].number}"
+
+
+class ServerGroup:
+    """A primary and its replicas."""
+
+    def __init__(
+        self,
+        name: str,
+        zones: tuple[str, ...],
+        sync_count: int = 1,
+        lag_s: float = 0.005,
+        work_s: float = 0.001,
+        promote_s: float = 0.1,
+        connection_limit: int = 30,
+        first_term: int = 3,
+    ) -> None:
+        """Create the servers, one in each zone; the first is the primary."""
+        self.name = name
+        self.sync_count = sync_count
+        self.lag_s = lag_s
+        self.work_s = work_s
+        self.promote_s = promote_s
+        self.connection_limit = connection_limit
+        self.first_term = first_term
+        self.runs: list[Run] = []
+        self.servers = [
+            LineServer(self, f"{name}-{number}", zone)
+            for number, zone in enumerate(zones)
+        ]
+        self.servers[0].is_primary = True
+        self.deaf: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self) -> None:
+        """Start all servers."""
+        for server in self.servers:
+            await server.start()
+
+    async def stop(self) -> None:
+        """Stop all servers."""
+        for task in self._tasks:
+            task.cancel()
+        for server in self.servers:
+            await server.stop()
+
+    def by_id(self, server_id: str) -> LineServer:
+        """Return a server."""
+        return next(item for item in self.servers if item.server_id == server_id)
+
+    def replicate(self, primary: LineServer) -> None:
+        """Send the primary's log to all replicas that receive.
+
+        Args:
+            primary: The server that committed.
+        """
+        for server in self.servers:
+            is_cut = server.server_id in self.deaf or not server.is_running
+            if server is primary or server.held_for or is_cut:
+                continue
+            if server.term > primary.term:
+                continue
+            server.log = list(primary.log)
+            server.term = primary.term
+            self._start(self._apply(server, len(server.log)))
+
+    def catch_up(self, server: LineServer) -> None:
+        """Send the current primary's log to a server that receives again."""
+        for primary in self.servers:
+            if primary.is_primary and primary is not server:
+                self.replicate(primary)
+
+    async def _apply(self, server: LineServer, length: int) -> None:
+        await asyncio.sleep(self.lag_s)
+        server.applied = max(server.applied, min(length, len(server.log)))
+
+    async def wait_for_replicas(self, primary: LineServer, entry: LogEntry) -> bool:
+        """Return whether enough replicas received an entry in time."""
+        deadline_s = asyncio.get_running_loop().time() + ACKNOWLEDGE_LIMIT_S
+        while asyncio.get_running_loop().time() < deadline_s:
+            holders = [
+                server
+                for server in self.servers
+                if server is not primary and entry in server.log
+            ]
+            if len(holders) >= self.sync_count:
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    def begin_promotion(self, server_id: str) -> bool:
+        """Begin to make a server the primary; False if it is not running."""
+        server = self.by_id(server_id)
+        if not server.is_running:
+            return False
+        if not server.is_primary:
+            self._start(self._promote(server))
+        return True
+
+    async def _promote(self, server: LineServer) -> None:
+        await asyncio.sleep(self.promote_s)
+        server.term = max(item.term for item in self.servers) + 1
+        server.held_for = 0
+        server.is_primary = True
+        server.applied = len(server.log)
+        for other in self.servers:
+            if other is server or other.is_primary or not other.is_running:
+                continue
+            other.held_for = 0
+            other.log = list(server.log)
+            other.applied = len(other.log)
+            other.term = server.term
+
+    def _start(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
