--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -22,7 +22,10 @@
 )
 
 QUIET_S = 0.25
-"""A primary that has answered nothing for this long is asked."""
+"""A server that has owed an answer for this long is asked."""
+
+IDLE_S = 1.0
+"""A primary that has had nothing to answer for this long is asked."""
 
 CONFIRM_S = 0.8
 """Seconds between two questions to a server that is not known to be in line; below
@@ -76,7 +79,7 @@
         if term is None or not term.primary:
             return False
         if server_id == term.primary:
-            return now_s - view.answered_at_s > QUIET_S
+            return now_s - view.answered_at_s > IDLE_S
         if asked_ago_s < CONFIRM_S:
             return False
         server = board.inventory.servers_by_id[server_id]
--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -109,7 +109,12 @@
         self._wake(self.queue.grant_waiting(self._clock()))
 
     async def borrow(
-        self, customer_id: str, queue_limit: int, deadline_s: float, term: int
+        self,
+        customer_id: str,
+        queue_limit: int,
+        deadline_s: float,
+        term: int,
+        suits: Callable[[PooledConnection], bool] | None = None,
     ) -> Lease:
         """Wait for a turn and lend a connection.
 
@@ -119,6 +124,7 @@
             deadline_s: Local time after which the statement is refused.
             term: Connections of an older term are closed instead of lent; 0 lends any,
                 which is enough for reads.
+            suits: Tells which idle connection needs the least preparation.
 
         Returns:
             A lease that must be given back.
@@ -130,7 +136,7 @@
         ticket = Ticket(customer_id, deadline_s)
         await self._take_turn(ticket, queue_limit)
         try:
-            entry = self._pop_idle(term)
+            entry = self._pop_idle(term, suits)
             if entry is None:
                 entry = (await self._open(), term)
         except BaseException:
@@ -176,7 +182,12 @@
             if not ticket.settle.done():
                 ticket.settle.set_result(None)
 
-    def _pop_idle(self, term: int) -> tuple[PooledConnection, int] | None:
+    def _pop_idle(
+        self, term: int, suits: Callable[[PooledConnection], bool] | None
+    ) -> tuple[PooledConnection, int] | None:
+        if suits is not None:
+            # The last one is taken first.
+            self._idle.sort(key=lambda entry: suits(entry[0]))
         while self._idle:
             connection, opened_for_term = self._idle.pop()
             if opened_for_term >= term and connection.is_usable:
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -12,6 +12,7 @@
     UnknownDatabaseError,
     WritesUnavailableError,
 )
+from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
@@ -118,13 +119,15 @@
         current = writable_term(self.board, term.group_id, self.clock())
         return current is not None and current.term == term.term
 
-    async def borrow(self, target: Target, route: Route, account: str) -> Lease:
+    async def borrow(
+        self, target: Target, route: Route, session: SessionState
+    ) -> Lease:
         """Lend a connection to a chosen server.
 
         Args:
             target: The server.
             route: Tells how long the statement may wait.
-            account: Client account that takes the turn.
+            session: Whose turn it is; a connection with its values is preferred.
 
         Returns:
             A lease.
@@ -137,7 +140,11 @@
         wait_s = route.target_latency_ms / 1000 * QUEUE_SHARE_OF_TARGET
         term = target.term.term if target.term is not None else ANY_TERM
         return await pool.borrow(
-            account, WAITING_STATEMENTS_LIMIT, self.clock() + wait_s, term
+            session.account,
+            WAITING_STATEMENTS_LIMIT,
+            self.clock() + wait_s,
+            term,
+            lambda link: link.values == session.values,
         )
 
     # What answers tell.
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -197,7 +197,7 @@
             # Tell at once that no primary can be reached, before anything is done.
             self.access.require_writable(route.group_id)
         self.session.transaction = OpenTransaction(
-            statement.read_only, route, now_s, used_at_s=now_s
+            statement, route, now_s, used_at_s=now_s
         )
         return Answer()
 
@@ -389,7 +389,7 @@
                 await restore_values(link, self.session)
             reply = await self._ask(
                 lease,
-                link.begin(transaction.read_only, target.at_least),
+                link.begin(transaction.begin, target.at_least),
                 RESTORE_LIMIT_S,
                 transaction.route,
             )
@@ -553,7 +553,7 @@
 
     async def _borrow(self, target: Target, route: Route) -> Lease:
         try:
-            return await self.access.borrow(target, route, self.session.account)
+            return await self.access.borrow(target, route, self.session)
         except (BackendUnreachableError, OverloadedError) as error:
             raise _NotRunHereError(error) from error
 
--- a/pollencleat/engine/session.py
+++ b/pollencleat/engine/session.py
@@ -4,7 +4,7 @@
 
 from pollencleat.backend.pool import Lease
 from pollencleat.core.data import GroupTerm, Position, Route
-from pollencleat.engine.statements import Shape
+from pollencleat.engine.statements import Begin, Shape
 from pollencleat.routing.tokens import later_of
 
 
@@ -21,7 +21,7 @@
         failure: Why it cannot go on; only its end is accepted then.
     """
 
-    read_only: bool
+    begin: Begin
     route: Route
     begun_at_s: float
     lease: Lease | None = None
@@ -30,6 +30,11 @@
     failure: str = ""
     used_at_s: float = 0.0
 
+    @property
+    def read_only(self) -> bool:
+        """Whether the caller declared that it writes nothing."""
+        return self.begin.read_only
+
 
 @dataclass(eq=False, slots=True)
 class SessionState:
--- a/pollencleat/engine/sessions_test.py
+++ b/pollencleat/engine/sessions_test.py
@@ -124,7 +124,7 @@
             ("row",), "receipt", None, "", Position(1, 1), self.owner is not None
         )
 
-    async def begin(self, read_only, at_least):
+    async def begin(self, begin, at_least):
         def effect():
             if self.owner is not None:
                 raise RuleBrokenError("begin inside a transaction")
--- a/pollencleat/engine/statements.py
+++ b/pollencleat/engine/statements.py
@@ -170,7 +170,7 @@
     values: dict[str, str]
     names_by_shape: dict[Shape, str]
 
-    async def begin(self, read_only: bool, at_least: Position | None) -> ServerReply:
+    async def begin(self, begin: Begin, at_least: Position | None) -> ServerReply:
         """Begin a transaction, if the server has applied a position."""
 
     async def run(
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -11,6 +11,7 @@
     CLOCK_DRIFT,
     PERMIT_S,
     PROMISE_S,
+    READ_S,
     RELAY_SILENCE_S,
 )
 from pollencleat.core.data import Fleet, Inventory, Member, VmList
@@ -28,6 +29,9 @@
 COLLECT_S = 0.1
 """For how long collected promises of whole failure domains are passed on."""
 
+READ_GRAIN_S = 0.1
+"""Timers are late by up to this much; a read is not put off to the next heartbeat."""
+
 LIVE_RELAYS = 2
 """Members of a failure domain, known alive, that heartbeats are sent to."""
 
@@ -44,6 +48,7 @@
         """
         self.board = board
         self.seeds = seeds
+        self._read_asked_at_s = -1e9
         self._collected: tuple[DomainPromise, ...] = ()
         self._collected_at_s = -1e9
         self._collected_for: tuple[int, bool] = (-1, False)
@@ -55,7 +60,8 @@
             now_s: Local time.
         """
         board = self.board
-        if not board.is_member() or acts_as_relay(board, now_s):
+        if self._is_read_due(now_s):
+            self._read_asked_at_s = now_s
             board.effects.append(ReadPlatform(now_s))
         for member in find_beat_targets(board, now_s):
             board.send(member.node_id, self._make_beat(member.node_id, now_s, False))
@@ -64,6 +70,19 @@
         for seed in self.seeds:
             board.send(seed, StateRequest(board.node_id, board.versions()))
 
+    def _is_read_due(self, now_s: float) -> bool:
+        board = self.board
+        if not board.is_member():
+            return True
+        if not acts_as_relay(board, now_s):
+            return False
+        terms = board.fleet.terms_by_group.values()
+        if any(term.promotion is not None for term in terms):
+            return True
+        # An answer that is overdue is asked for again with the next heartbeat.
+        is_overdue = board.read_answered_at_s < self._read_asked_at_s
+        return is_overdue or now_s - self._read_asked_at_s > READ_S - READ_GRAIN_S
+
     def on_platform_read(
         self,
         sent_at_s: float,
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -10,6 +10,7 @@
     MalformedStatementError,
 )
 from pollencleat.engine.statements import (
+    Begin,
     Commit,
     ServerFailure,
     ServerReply,
@@ -79,10 +80,10 @@
         if reply.failure is not None:
             raise BackendError(f"{reply.failure}: {reply.detail}")
 
-    async def begin(self, read_only: bool, at_least: Position | None) -> ServerReply:
+    async def begin(self, begin: Begin, at_least: Position | None) -> ServerReply:
         """Begin a transaction, if the server has applied a position."""
-        verb = "BEGIN READ" if read_only else "BEGIN"
-        return await self._query(OWN_REQUEST, _after(at_least) + verb)
+        verb = "BEGIN READ" if begin.read_only else "BEGIN"
+        return await self._query(begin.request_id, _after(at_least) + verb)
 
     async def run(
         self, work: Work, prepared_name: str, at_least: Position | None
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -30,7 +30,7 @@
 """How long a watch waits; a silent connection is noticed this much later, which leaves
 room within the time in which a change has to be in force."""
 
-SERVERS_PAUSE_S = 0.5
+SERVERS_PAUSE_S = 1.0
 """Seconds between two watches of servers, whose entries change all the time."""
 
 RETRY_S = 0.2
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.blackboard import Blackboard, ServerView
 from pollencleat.core.constants import FAILOVER_AFTER_S
 from pollencleat.core.data import GroupTerm
 from pollencleat.core.messages import Sighting
@@ -55,7 +55,7 @@
     view = board.server(term.primary)
     if view.refused_at_s is not None:
         return Suspicion.LOST
-    if now_s - view.answered_at_s > FAILOVER_AFTER_S:
+    if is_silent(view, now_s):
         return Suspicion.LOST
     status = view.status
     # An answer from before the primary was published tells of its former role.
@@ -66,6 +66,24 @@
     return Suspicion.NONE
 
 
+def is_silent(view: ServerView, now_s: float) -> bool:
+    """Return whether a server has left requests unanswered for too long.
+
+    Args:
+        view: What is known of the server.
+        now_s: Local time.
+
+    Returns:
+        True after FAILOVER_AFTER_S, from the oldest open request where those are known.
+    """
+    if now_s - view.answered_at_s <= FAILOVER_AFTER_S:
+        return False
+    if view.asked_at_s is None:
+        return True
+    is_owing = view.answered_at_s < view.asked_at_s
+    return is_owing and now_s - view.asked_at_s > FAILOVER_AFTER_S
+
+
 def make_sighting(board: Blackboard, server_id: str, now_s: float) -> Sighting:
     """Return what this node can tell a peer about a server.
 
