--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -70,10 +70,7 @@
         asked_ago_s = now_s - self._asked_at_s.get(server_id, -1e9)
         if asked_ago_s < QUIET_S:
             return False
-        is_owing = view.asked_at_s is not None and (
-            view.answered_at_s < view.asked_at_s < now_s - QUIET_S
-        )
-        if is_owing or view.refused_at_s is not None:
+        if view.owes_for_s(now_s) > QUIET_S or view.refused_at_s is not None:
             return True
         term = board.group_term(group_id)
         if term is None or not term.primary:
@@ -105,11 +102,11 @@
         board = self._board
         sent_at_s = self._clock()
         view = board.server(server_id)
-        if view.asked_at_s is None or view.answered_at_s >= view.asked_at_s:
-            view.asked_at_s = sent_at_s
+        view.note_request(sent_at_s)
         try:
             status = await self._orders.read_status(server_id)
         except BackendError as error:
+            view.note_request_ended(self._clock(), False)
             refused = isinstance(error, BackendRefusedError)
             if refused and view.refused_at_s is None:
                 log.info("dependency lost", dependency=server_id, reason=str(error))
@@ -117,6 +114,7 @@
             return
         if view.refused_at_s is not None:
             log.info("dependency regained", dependency=server_id)
+        view.note_request_ended(self._clock(), True)
         record_status(board, server_id, status, sent_at_s, self._clock())
         self._note_line(server_id)
 
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -93,10 +93,8 @@
         if view is None:
             return False
         now_s = self.clock()
-        if view.asked_at_s is not None:
-            # Not every server is sampled; silence counts from an open request.
-            is_owing = view.answered_at_s < view.asked_at_s
-            return is_owing and now_s - view.asked_at_s > SILENT_SERVER_S
+        if view.is_tracked:
+            return view.owes_for_s(now_s) > SILENT_SERVER_S
         if view.status is None:
             return False
         return now_s - view.answered_at_s > SILENT_SERVER_S
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -22,7 +22,13 @@
 )
 from pollencleat.core.effects import Effect
 from pollencleat.core.index import FleetIndex, make_fleet_index
-from pollencleat.core.messages import Envelope, PeerMessage, SeenPosition, Versions
+from pollencleat.core.messages import (
+    Envelope,
+    PeerMessage,
+    SeenPosition,
+    Versions,
+    WritesEnded,
+)
 
 PRIMARY_SAMPLES_KEPT = 256
 """Position samples of a primary that are kept for bounding the age of replicas."""
@@ -62,7 +68,9 @@
         fresh_as_of_s: The server has everything that its primary had at this time.
         refused_at_s: When the last connection was refused; cleared by an answer.
         applied: Position in the newest answer to ordinary traffic, if it told one.
-        asked_at_s: When the oldest request without an answer was sent, or None.
+        is_tracked: Every request to the server is noted; otherwise it is sampled.
+        open_requests: Requests that were sent and have neither an answer nor an end.
+        owing_since_s: Since when the server has owed an answer and given none, or None.
     """
 
     status: ServerStatus | None = None
@@ -71,7 +79,33 @@
     fresh_as_of_s: float = -1e9
     refused_at_s: float | None = None
     applied: Position | None = None
-    asked_at_s: float | None = None
+    is_tracked: bool = False
+    open_requests: int = 0
+    owing_since_s: float | None = None
+
+    def note_request(self, now_s: float) -> None:
+        """Take in that a request was sent."""
+        self.is_tracked = True
+        self.open_requests += 1
+        if self.owing_since_s is None:
+            self.owing_since_s = now_s
+
+    def note_request_ended(self, now_s: float, is_answered: bool) -> None:
+        """Take in that a request was answered, or that its answer was given up.
+
+        After an answer, silence counts from now on if others are still open; a request
+        that was given up leaves the server owing.
+        """
+        self.open_requests -= 1
+        if not is_answered:
+            return
+        self.answered_at_s = now_s
+        self.refused_at_s = None
+        self.owing_since_s = now_s if self.open_requests else None
+
+    def owes_for_s(self, now_s: float) -> float:
+        """Return for how long an open request has gone without any answer."""
+        return 0.0 if self.owing_since_s is None else now_s - self.owing_since_s
 
 
 @dataclass(slots=True)
@@ -125,6 +159,7 @@
     Attributes:
         inventory: What is in force here: the declaration with registered servers.
         declared: The newest declaration, as operators accepted it.
+        ended_by_group: Groups that nobody writes to while a primary is being replaced.
         public_key: This node's own key for peer messages, or empty.
         fresh_at_s: The fleet state was the platform's newest when a read was sent at
             this local time.
@@ -164,6 +199,7 @@
     wall_clock_s: int = 0
     effects: list[Effect] = field(default_factory=list)
     public_key: str = ""
+    ended_by_group: dict[str, WritesEnded] = field(default_factory=dict)
     primary_seen_at_s: dict[str, float] = field(default_factory=dict)
     removed_seen_at_s: dict[str, float] = field(default_factory=dict)
     member_seen_at_s: dict[str, float] = field(default_factory=dict)
@@ -247,6 +283,24 @@
             if bounds.highest is not None
         }
 
+    def note_fresh(self, sent_at_s: float) -> None:
+        """Take in that the fleet state was the newest when a read was sent.
+
+        While a primary is being replaced, and nobody writes, that also shows that
+        nothing was acknowledged beyond the position at which the writes ended.
+
+        Args:
+            sent_at_s: Local time at which the read was sent.
+        """
+        self.fresh_at_s = sent_at_s
+        self.outage_limit_s = self.inventory.rules.outage_limit_s
+        for group_id, ended in self.ended_by_group.items():
+            term = self.group_term(group_id)
+            if term is None or term.term != ended.term or term.primary:
+                continue
+            bounds = self.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
+            bounds.add(term.term, sent_at_s, ended.position)
+
     def adopt_fleet(self, fleet: Fleet, now_s: float) -> bool:
         """Take over a fleet state if it is newer.
 
--- a/pollencleat/core/constants.py
+++ b/pollencleat/core/constants.py
@@ -1,16 +1,16 @@
 """Times and sizes that several packages share."""
 
-BEAT_S = 0.4
+BEAT_S = 0.3
 """Seconds between two heartbeats to a relay, and between two platform reads of a node
 that is joining or changes a primary."""
 
-READ_S = 0.8
+READ_S = 0.6
 """Seconds between two platform reads of a relay while nothing is changing."""
 
-PERMIT_S = 2.5
+PERMIT_S = 1.6
 """Seconds after a platform read was sent during which writes may rest on it."""
 
-PROMISE_S = 2.5
+PROMISE_S = 1.6
 """Seconds during which a node that gave a promise makes no server a primary."""
 
 CLOCK_DRIFT = 0.02
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -119,7 +119,7 @@
     """Limits that hold for the whole deployment.
 
     Attributes:
-        seats: Entry VMs among which connections are divided.
+        seats: Entry VMs among which connections are divided; 0 to follow the members.
         request_retention_s: How long recorded request ids are kept.
         drain_limit_s: How long a graceful stop waits for statements in flight.
         outage_limit_s: How long writes may go on without the platform.
@@ -280,6 +280,8 @@
     Attributes:
         audit: The newest promotions, oldest first; being part of the object, an entry
             is there exactly if its change was accepted.
+        seats: Shares into which connections are divided where the inventory declares no
+            number; never shrinks, since a share that is given away is slow to return.
     """
 
     version: int = 0
@@ -287,6 +289,7 @@
     removed_by_incarnation: dict[str, RemovedMember] = field(default_factory=dict)
     terms_by_group: dict[str, GroupTerm] = field(default_factory=dict)
     audit: tuple[AuditEntry, ...] = ()
+    seats: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -107,6 +107,20 @@
     seen_by_group: dict[str, SeenPosition] = {}
 
 
+class WritesEnded(msgspec.Struct, frozen=True, array_like=True, tag="writes_ended"):
+    """Nobody writes to a group until its next primary is published.
+
+    Attributes:
+        term: The term that is being begun.
+        position: No acknowledged commit lies beyond it.
+    """
+
+    node_id: str
+    group_id: str
+    term: int
+    position: Position
+
+
 class SightingRequest(
     msgspec.Struct, frozen=True, array_like=True, tag="sighting_request"
 ):
@@ -131,6 +145,7 @@
     | State
     | StopWrites
     | WritesStopped
+    | WritesEnded
     | SightingRequest
     | Sighting
 )
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -149,6 +149,12 @@
         if version:
             log.info("fleet changed", version=version, cause=effect.cause)
         else:
+            log.info(
+                "fleet change not accepted",
+                result=_update_result(version),
+                expected_version=effect.expected_version,
+                cause=effect.cause,
+            )
             await self._read_after_failure()
         self._deliver(FleetUpdated(effect, version))
 
--- a/pollencleat/daemon/node.py
+++ b/pollencleat/daemon/node.py
@@ -22,6 +22,7 @@
     State,
     StateRequest,
     StopWrites,
+    WritesEnded,
     WritesStopped,
 )
 from pollencleat.core.timers import TimerService
@@ -106,6 +107,10 @@
     def _on_writes_stopped(self, message: WritesStopped, now_s: float) -> None:
         self.promotion.on_writes_stopped(message, now_s)
 
+    @handles(WritesEnded)
+    def _on_writes_ended(self, message: WritesEnded, now_s: float) -> None:
+        self.beats.on_writes_ended(message)
+
     @handles(SightingRequest)
     def _on_sighting_request(self, request: SightingRequest, now_s: float) -> None:
         self.board.send(
--- a/pollencleat/daemon/readiness.py
+++ b/pollencleat/daemon/readiness.py
@@ -3,9 +3,6 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.membership.permits import permit_ends_at
 
-CUT_OFF_S = 1.0
-"""A node without a write permit for this long cannot serve what others can."""
-
 
 def is_ready(board: Blackboard, now_s: float) -> bool:
     """Return whether new callers are welcome.
@@ -15,11 +12,11 @@
         now_s: Local time.
 
     Returns:
-        False before the first configuration, while stopping, and when the node has been
-        without a write permit for a while.
+        False before the first configuration, while stopping, and without a write
+        permit: such a node cannot serve what others can.
     """
     if board.draining or not board.inventory.version:
         return False
     if not board.inventory.servers_by_id:
         return False
-    return now_s < permit_ends_at(board) + CUT_OFF_S
+    return now_s < permit_ends_at(board)
--- a/pollencleat/daemon/runtime.py
+++ b/pollencleat/daemon/runtime.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.effects import ReadPlatform
 from pollencleat.core.ports import PlatformStore, ServerOrders
 from pollencleat.core.timers import TimerService, read_boottime_s
 from pollencleat.daemon.adapters import EffectRunner
@@ -73,8 +74,14 @@
             read_boottime_s,
             lambda: self.metrics.count("peer_message_malformed"),
             is_known_key,
+            self._read_platform_now,
         )
 
+    def _read_platform_now(self) -> None:
+        """Learn of a peer that registered a moment ago."""
+        self.board.effects.append(ReadPlatform(read_boottime_s()))
+        self.dispatch()
+
     async def wait_for_failure(self) -> None:
         """Wait until a controller fails, which ends the process.
 
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -1,8 +1,8 @@
 """What sessions need from the node: routes, pools, permits and what answers tell."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from pollencleat.backend.pool import ANY_TERM, Lease, ServerPool
+from pollencleat.backend.pool import ANY_TERM, Lease, PooledConnection, ServerPool
 from pollencleat.backend.pools import ServerPools
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.bounds import AcknowledgedBounds
@@ -45,6 +45,16 @@
         self.clock = clock
         self.pools = ServerPools(board, clock, make_pool)
         self.doubted_servers: set[str] = set()
+        self.has_joined = False
+
+    def follow_board(self, is_ready: bool) -> None:
+        """Adapt pools to the blackboard; work begins when they have their share.
+
+        Args:
+            is_ready: Whether new callers are welcome.
+        """
+        self.pools.follow_board()
+        self.has_joined = self.has_joined or is_ready
 
     def route_of(self, database: str) -> Route:
         """Return the declared route of a database name.
@@ -149,22 +159,24 @@
 
     # What answers tell.
 
-    def note_sent(self, server_id: str) -> float:
+    def note_sent(self, server_id: str) -> None:
         """Note that a request was sent to a server.
 
         Args:
             server_id: The server.
+        """
+        self.board.server(server_id).note_request(self.clock())
 
-        Returns:
-            The local time.
+    def note_ended(self, server_id: str, is_answered: bool) -> None:
+        """Note the end of a request.
+
+        Args:
+            server_id: The server.
+            is_answered: A complete answer came.
         """
-        now_s = self.clock()
-        view = self.board.server(server_id)
-        if view.asked_at_s is None or view.answered_at_s >= view.asked_at_s:
-            view.asked_at_s = now_s
-        return now_s
+        self.board.server(server_id).note_request_ended(self.clock(), is_answered)
 
-    def note_answered(
+    def note_position(
         self, server_id: str, reply: ServerReply, sent_at_s: float, group_id: str
     ) -> None:
         """Take in what an answer tells of a server's log.
@@ -175,13 +187,31 @@
             sent_at_s: When the request was sent.
             group_id: The server's group.
         """
-        now_s = self.clock()
-        view = self.board.server(server_id)
-        view.answered_at_s = now_s
-        view.refused_at_s = None
-        view.applied = reply.position or view.applied
-        if reply.position is not None:
-            self._note_bound(server_id, reply.position, sent_at_s, group_id)
+        if reply.position is None:
+            return
+        self.board.server(server_id).applied = reply.position
+        self._note_bound(server_id, reply.position, sent_at_s, group_id)
+
+    async def open_tracked(
+        self, server_id: str, opening: Awaitable[PooledConnection]
+    ) -> PooledConnection:
+        """Open a connection; the server owes an answer meanwhile.
+
+        Args:
+            server_id: The server.
+            opening: The attempt.
+
+        Returns:
+            The connection.
+        """
+        self.note_sent(server_id)
+        is_answered = False
+        try:
+            connection = await opening
+            is_answered = True
+            return connection
+        finally:
+            self.note_ended(server_id, is_answered)
 
     def _note_bound(
         self, server_id: str, position: Position, sent_at_s: float, group_id: str
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -385,8 +385,7 @@
     ) -> None:
         link: ServerLink = lease.connection
         try:
-            async with asyncio.timeout(RESTORE_LIMIT_S):
-                await restore_values(link, self.session)
+            await self._prepare_link(lease, None)
             reply = await self._ask(
                 lease,
                 link.begin(transaction.begin, target.at_least),
@@ -473,7 +472,7 @@
     ) -> Answer:
         term = target.term
         try:
-            name = await self._prepare_link(lease.connection, work)
+            name = await self._prepare_link(lease, work)
         except (BackendError, TimeoutError) as error:
             lease.give_back(False)
             raise _NotRunHereError(
@@ -557,14 +556,19 @@
         except (BackendUnreachableError, OverloadedError) as error:
             raise _NotRunHereError(error) from error
 
-    async def _prepare_link(self, link: ServerLink, work: Work) -> str:
+    async def _prepare_link(self, lease: Lease, work: Work | None) -> str:
         """Restore the session on a connection; return the name to execute by."""
+
+        async def ask(request: Awaitable[ServerReply]) -> ServerReply:
+            return await self._track(lease, request)
+
+        link: ServerLink = lease.connection
         async with asyncio.timeout(RESTORE_LIMIT_S):
-            await restore_values(link, self.session)
-            if not work.prepared_name:
+            await restore_values(link, self.session, ask)
+            if work is None or not work.prepared_name:
                 return ""
             shape = self.session.shapes_by_name[work.prepared_name]
-            return await restore_shape(link, shape)
+            return await restore_shape(link, shape, ask)
 
     async def _run(
         self,
@@ -574,7 +578,7 @@
         limit_s: float,
         route: Route,
     ) -> ServerReply:
-        name = await self._prepare_link(lease.connection, work)
+        name = await self._prepare_link(lease, work)
         return await self._ask(
             lease, lease.connection.run(work, name, at_least), limit_s, route
         )
@@ -586,14 +590,28 @@
         limit_s: float,
         route: Route,
     ) -> ServerReply:
-        """Wait for an answer and take in what it tells of the server."""
+        """Wait for an answer and take in what it tells of the server's log."""
         server_id = lease.pool.server.server_id
-        sent_at_s = self.access.note_sent(server_id)
+        sent_at_s = self.access.clock()
         async with asyncio.timeout(max(0.0, limit_s)):
-            reply = await request
-        self.access.note_answered(server_id, reply, sent_at_s, route.group_id)
+            reply = await self._track(lease, request)
+        self.access.note_position(server_id, reply, sent_at_s, route.group_id)
         return reply
 
+    async def _track(
+        self, lease: Lease, request: Awaitable[ServerReply]
+    ) -> ServerReply:
+        """Wait for an answer, so that the server owes one meanwhile."""
+        server_id = lease.pool.server.server_id
+        self.access.note_sent(server_id)
+        is_answered = False
+        try:
+            reply = await request
+            is_answered = True
+            return reply
+        finally:
+            self.access.note_ended(server_id, is_answered)
+
     def _refusal(self, target: Target, reply: ServerReply) -> CallerError:
         """Return the error of a statement that a server has not run."""
         detail = f"{target.server_id}: {reply.failure}: {reply.detail}"
--- a/pollencleat/engine/restore.py
+++ b/pollencleat/engine/restore.py
@@ -1,9 +1,13 @@
 """Makes a server connection look like the caller's session before it is used."""
 
+from collections.abc import Awaitable, Callable
+
 from pollencleat.core.errors import BackendError
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerLink, ServerReply, Shape
 
+Ask = Callable[[Awaitable[ServerReply]], Awaitable[ServerReply]]
+
 PREPARED_KEPT = 200
 """Prepared statements that a server connection may hold before it is reset."""
 
@@ -12,12 +16,13 @@
     """A server connection could not be given the session's values and names."""
 
 
-async def restore_values(link: ServerLink, session: SessionState) -> None:
+async def restore_values(link: ServerLink, session: SessionState, ask: Ask) -> None:
     """Give a connection exactly the values of a session.
 
     Args:
         link: A lent connection.
         session: The caller's session.
+        ask: Waits for the answer to each request.
 
     Raises:
         ConnectionNotRestoredError: The server refused; the connection is unusable.
@@ -26,7 +31,7 @@
     has_foreign_value = any(name not in session.values for name in link.values)
     is_crowded = len(link.names_by_shape) > PREPARED_KEPT
     if has_foreign_value or (is_crowded and not link.has_open_transaction):
-        _require_success(await link.reset())
+        _require_success(await ask(link.reset()))
         link.values.clear()
         link.names_by_shape.clear()
     for name, value in session.values.items():
@@ -34,11 +39,11 @@
             continue
         # Until the server has answered, the connection's value is not known.
         link.values.pop(name, None)
-        _require_success(await link.set_value(name, value))
+        _require_success(await ask(link.set_value(name, value)))
         link.values[name] = value
 
 
-async def restore_shape(link: ServerLink, shape: Shape) -> str:
+async def restore_shape(link: ServerLink, shape: Shape, ask: Ask) -> str:
     """Return the connection's own name of a prepared shape, preparing it if needed.
 
     Callers' names collide; a connection uses one name for each shape instead.
@@ -46,6 +51,7 @@
     Args:
         link: A lent connection.
         shape: What is to be executed.
+        ask: Waits for the answer to each request.
 
     Returns:
         A name that the server knows on this connection.
@@ -58,7 +64,7 @@
     if name is not None:
         return name
     name = f"p{len(link.names_by_shape)}"
-    _require_success(await link.prepare(name, shape))
+    _require_success(await ask(link.prepare(name, shape)))
     link.names_by_shape[shape] = name
     return name
 
--- a/pollencleat/limits/shares.py
+++ b/pollencleat/limits/shares.py
@@ -29,7 +29,7 @@
     server = board.inventory.servers_by_id.get(server_id)
     if server is None:
         return 0
-    seats = board.inventory.rules.seats
+    seats = board.inventory.rules.seats or board.fleet.seats
     if not 0 <= member.seat < seats:
         return 0
     return connection_share(server.connections, seats)
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -22,6 +22,7 @@
     State,
     StateRequest,
     StopWrites,
+    WritesEnded,
     WritesStopped,
 )
 from pollencleat.membership.permits import domain_promised_at
@@ -191,12 +192,19 @@
             ),
         )
 
+    def on_writes_ended(self, message: WritesEnded) -> None:
+        """Keep up to which position a group's commits reach.
+
+        Args:
+            message: What the promoter found out.
+        """
+        self.board.ended_by_group[message.group_id] = message
+
     def _confirm_fresh(self, read_sent_at_s: float) -> None:
         board = self.board
         if read_sent_at_s <= board.fresh_at_s:
             return
-        board.fresh_at_s = read_sent_at_s
-        board.outage_limit_s = board.inventory.rules.outage_limit_s
+        board.note_fresh(read_sent_at_s)
 
     def _count_beat(self, beat: Beat, peer: PeerView) -> None:
         board = self.board
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -19,6 +19,10 @@
 NO_SEAT = -1
 """Seat of a member for which no connection share is free."""
 
+SPARE_SEATS = 1
+"""Seats kept free where none are declared, so that a newcomer may open connections
+before the others have given up theirs."""
+
 HISTORY_KEPT = 32
 """Terms of a group that stay in the fleet state."""
 
@@ -35,7 +39,7 @@
     Args:
         fleet: The state to start from.
         member: The newcomer; its seat and may_promote are ignored.
-        seats: Number of seats declared.
+        seats: Number of seats declared; 0 to make room as members come.
 
     Returns:
         The changed state.
@@ -52,9 +56,14 @@
     if previous is not None:
         seat = previous.seat
     else:
-        seat = _find_free_seat(members_by_id, seats)
+        seat = _find_free_seat(members_by_id, seats or len(members_by_id) + 1)
     members_by_id[member.node_id] = replace(member, seat=seat, may_promote=alone)
-    return replace(fleet, members_by_id=members_by_id, removed_by_incarnation=removed)
+    return replace(
+        fleet,
+        members_by_id=members_by_id,
+        removed_by_incarnation=removed,
+        seats=max(fleet.seats, seat + 1 + SPARE_SEATS),
+    )
 
 
 def _find_free_seat(members_by_id: dict[str, Member], seats: int) -> int:
@@ -70,18 +79,20 @@
 
     Args:
         fleet: The state to start from.
-        seats: Number of seats declared.
+        seats: Number of seats declared; 0 to make room.
 
     Returns:
         The changed state; equal to the given one if nobody could be seated.
     """
     members_by_id = dict(fleet.members_by_id)
+    highest = fleet.seats
     for node_id, member in sorted(members_by_id.items()):
         if member.seat != NO_SEAT:
             continue
-        seat = _find_free_seat(members_by_id, seats)
+        seat = _find_free_seat(members_by_id, seats or len(members_by_id) + 1)
         members_by_id[node_id] = replace(member, seat=seat)
-    return replace(fleet, members_by_id=members_by_id)
+        highest = max(highest, seat + 1 + SPARE_SEATS)
+    return replace(fleet, members_by_id=members_by_id, seats=highest)
 
 
 def without_member(fleet: Fleet, node_id: str, resigned: bool) -> Fleet:
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -3,7 +3,12 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import Fleet, Member
-from pollencleat.membership.fleet import NO_SEAT, with_member, without_member
+from pollencleat.membership.fleet import (
+    NO_SEAT,
+    with_free_seats_taken,
+    with_member,
+    without_member,
+)
 from pollencleat.membership.registration import RegistrationController
 
 
@@ -66,6 +71,22 @@
     assert "1" in fleet.removed_by_incarnation
 
 
+def test_seats_follow_the_members_and_never_shrink():
+    """Regression: a node that had not read the inventory yet took its default number,
+    and set the fleet's to none, so that nobody was allowed any connection."""
+    fleet = Fleet()
+    for number in range(7):
+        fleet = with_member(fleet, make_member(f"n{number}", f"{number}"), 0)
+    assert fleet.seats == 8
+    assert {member.seat for member in fleet.members_by_id.values()} == set(range(7))
+    rejoined = with_member(fleet, make_member("n3", "later"), 5)
+    assert rejoined.seats == 8
+    late = with_member(rejoined, make_member("n7", "7"), 5)
+    assert late.members_by_id["n7"].seat == NO_SEAT
+    seated = with_free_seats_taken(late, 0)
+    assert seated.members_by_id["n7"].seat == 7 and seated.seats == 9
+
+
 def test_no_seat_is_given_beyond_the_declared_number():
     fleet = with_member(Fleet(), make_member("a", "1"), 1)
     fleet = with_member(fleet, make_member("b", "2"), 1)
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -28,6 +28,11 @@
 ZAP_DOMAIN = b"pollencleat"
 ZAP_DENIED = b"400"
 ZAP_TRY_AGAIN = b"300"
+UNKNOWN_KEY_LOOKS = 8
+UNKNOWN_KEY_PAUSE_S = 0.05
+"""A newcomer's key is looked for this often, with this pause; other newcomers wait
+meanwhile, so that the whole is less than a heartbeat or two."""
+
 UNACKNOWLEDGED_LIMIT_MS = 2_000
 """Unacknowledged data closes a connection to a peer after this time."""
 
@@ -52,13 +57,18 @@
 class KnownKeyProvider:
     """Accepts the client keys that a function knows."""
 
-    def __init__(self, is_known: Callable[[bytes], bool]) -> None:
-        """Ask a function about Z85 keys."""
+    def __init__(
+        self, is_known: Callable[[bytes], bool], on_unknown: Callable[[], None]
+    ) -> None:
+        """Ask a function about Z85 keys; tell another of unknown ones."""
         self._is_known = is_known
+        self._on_unknown = on_unknown
 
-    def callback(self, domain: str, key: bytes) -> bool:
+    async def callback(self, domain: str, key: bytes) -> bool:
         """Return whether a client may connect.
 
+        A newcomer may be registered before this node has heard of it.
+
         Args:
             domain: The ZAP domain.
             key: The client's Z85 key.
@@ -66,7 +76,14 @@
         Returns:
             True for a known key.
         """
-        return self._is_known(key)
+        if self._is_known(key):
+            return True
+        self._on_unknown()
+        for _ in range(UNKNOWN_KEY_LOOKS):
+            await asyncio.sleep(UNKNOWN_KEY_PAUSE_S)
+            if self._is_known(key):
+                return True
+        return False
 
 
 class RetryingAuthenticator(AsyncioAuthenticator):
@@ -101,11 +118,13 @@
         clock: Callable[[], float],
         on_malformed: Callable[[], None],
         is_known_key: Callable[[bytes], bool] | None = None,
+        on_unknown_key: Callable[[], None] = lambda: None,
     ) -> None:
         """Deliver each message to a callback.
 
         Without is_known_key, the own key pair is the deployment's and the only one.
         """
+        self._on_unknown_key = on_unknown_key
         self._keys = keys
         self._is_known_key = is_known_key or keys.public.__eq__
         self._on_message = on_message
@@ -133,7 +152,9 @@
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             domain=ZAP_DOMAIN.decode(),
-            credentials_provider=KnownKeyProvider(self._is_known_key),
+            credentials_provider=KnownKeyProvider(
+                self._is_known_key, self._on_unknown_key
+            ),
         )
         listener = self._context.socket(zmq.PULL)
         listener.linger = 0
--- a/pollencleat/platform/application.py
+++ b/pollencleat/platform/application.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import time
+from collections.abc import Awaitable
 from pathlib import Path
 
 import structlog
@@ -21,7 +22,7 @@
 from pollencleat.platform.endpoints import HttpEndpoints
 from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.orders import PlatformOrders
-from pollencleat.platform.servers import open_server_connection
+from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import (
     SETTINGS_VARIABLE,
     PlatformSettings,
@@ -51,6 +52,10 @@
 """Time after which the platform has asked twice, once a second, and sends no more new
 connections."""
 
+MOVED_AT_ONCE = 4
+"""Idle sessions that a node which is cut off closes at each look; a hundred take about
+a second, so that they do not all return at the same moment."""
+
 STOP_RESERVE_S = 1.2
 """Kept back from the grace period for resigning and closing."""
 
@@ -88,12 +93,15 @@
         self.endpoints = HttpEndpoints()
         self._idle_check: asyncio.Task | None = None
         self._was_ready = False
+        self._unready_since_s = 0.0
         self.ready_port = 0
 
     def _make_pool(self, server: BackendServer) -> ServerPool:
-        return ServerPool(
-            server, lambda: open_server_connection(server), read_boottime_s
-        )
+        def open_to_server() -> Awaitable[ServerConnection]:
+            opening = open_server_connection(server)
+            return self.access.open_tracked(server.server_id, opening)
+
+        return ServerPool(server, open_to_server, read_boottime_s)
 
     def _may_name_primary(self, group_id: str, fence: int) -> bool:
         return may_name_primary(self.board, group_id, fence, read_boottime_s())
@@ -141,13 +149,24 @@
 
     def _follow_board(self) -> None:
         self.board.wall_clock_s = int(time.time())
-        self.access.pools.follow_board()
+        self.access.follow_board(self._is_ready())
         self.changes.tick(read_boottime_s())
+        self._follow_readiness(read_boottime_s())
+        self._output.flush()
+
+    def _follow_readiness(self, now_s: float) -> None:
+        """Log changes; move idle sessions away from a node that is cut off."""
         ready = self._is_ready()
         if ready != self._was_ready:
             self._was_ready = ready
+            self._unready_since_s = now_s
             log.info("readiness", ready=ready, node=self.settings.node_id)
-        self._output.flush()
+        is_cut_off = not ready and self.access.has_joined and not self.board.draining
+        if not is_cut_off or now_s - self._unready_since_s < UNREADY_S:
+            return
+        moved = self.listener.move_idle(self._unready_since_s, MOVED_AT_ONCE)
+        if moved:
+            self.metrics.count("session_moved", amount=moved)
 
     def _check_idle(self) -> None:
         if self._idle_check is None or self._idle_check.done():
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -23,6 +23,7 @@
     parse_statement,
     read_line,
     tune_socket,
+    write_bytes,
 )
 
 START_LIMIT_S = 10.0
@@ -31,6 +32,15 @@
 LISTEN_BACKLOG = 1024
 """Connections that may wait to be accepted; a crowd returns after an outage."""
 
+JOIN_WAIT_S = 1.5
+"""How long a start waits for a process that is joining; callers give up after 2 s."""
+
+JOIN_POLL_S = 0.02
+"""Seconds between two looks at whether the process has joined."""
+
+CLOSE_IDLE_AFTER_S = 0.3
+"""A session counts as idle after this time; a request may be on its way before."""
+
 DRAIN_POLL_S = 0.02
 """Seconds between two looks at the sessions while the process drains."""
 
@@ -53,6 +63,8 @@
         self._reader = reader
         self._writer = writer
         self._lock = asyncio.Lock()
+        self._used_at_s = access.clock()
+        self.opened_at_s = self._used_at_s
         self.executor: SessionExecutor | None = None
 
     async def serve(self) -> None:
@@ -60,24 +72,25 @@
         try:
             async with asyncio.timeout(START_LIMIT_S):
                 line = await read_line(self._reader)
-            if line is None or not self._start(line):
+            if line is None or not await self._start(line):
                 return
             while await self._serve_next():
                 pass
         except MalformedStatementError as error:
             # Nothing after an unreadable line can be told apart.
-            self._writer.write(encode_line("ERROR", TOO_LARGE, error.detail))
+            self._write(encode_line("ERROR", TOO_LARGE, error.detail))
         finally:
             if self.executor is not None:
                 async with self._lock:
                     await self.executor.close()
 
-    def _start(self, line: str) -> bool:
+    async def _start(self, line: str) -> bool:
         word, _, rest = line.partition(" ")
         database, _, account = rest.partition(" ")
         if word != "STARTUP" or not database or not account:
-            self._writer.write(encode_line("ERROR", "MALFORMED", "no start"))
+            self._write(encode_line("ERROR", "MALFORMED", "no start"))
             return False
+        await self._wait_until_joined()
         try:
             if not self._access.board.inventory.version:
                 raise PollencleatError("no configuration is known yet")
@@ -89,19 +102,26 @@
                 inventory=self._access.board.inventory.version,
                 reason=error.detail,
             )
-            self._writer.write(encode_line("ERROR", "NODATABASE", database))
+            self._write(encode_line("ERROR", "NODATABASE", database))
             return False
         except PollencleatError as error:
-            self._writer.write(encode_line("ERROR", "BUSY", str(error)))
+            self._write(encode_line("ERROR", "BUSY", str(error)))
             return False
         self.executor = SessionExecutor(self._access, SessionState(database, account))
-        self._writer.write(encode_line("READY", "I", "-"))
+        self._write(encode_line("READY", "I", "-"))
         return True
 
+    async def _wait_until_joined(self) -> None:
+        """Wait for the configuration and a permit of a process that just started."""
+        deadline_s = self._access.clock() + JOIN_WAIT_S
+        while not self._access.has_joined and self._access.clock() < deadline_s:
+            await asyncio.sleep(JOIN_POLL_S)
+
     async def _serve_next(self) -> bool:
         line = await read_line(self._reader)
         if line is None or line.startswith("TERMINATE"):
             return False
+        self._used_at_s = self._access.clock()
         async with self._lock:
             try:
                 answer = await self.executor.execute(parse_statement(line))
@@ -111,6 +131,7 @@
                 self._write_error(error)
             else:
                 self._write_answer(answer)
+        self._used_at_s = self._access.clock()
         await self._writer.drain()
         return not self._writer.is_closing()
 
@@ -118,16 +139,19 @@
         lines = [encode_line("DATAROW", row) for row in answer.rows]
         lines.append(encode_line("COMPLETE", answer.receipt or "-"))
         lines.append(self._ready_line(format_position(answer.position)))
-        self._writer.write(b"".join(lines))
+        self._write(b"".join(lines))
 
     def _write_error(self, error: CallerError) -> None:
         detail = error.detail
         if error.retry_after_ms is not None:
             detail = f"retry after {error.retry_after_ms} ms: {detail}"
-        self._writer.write(
+        self._write(
             encode_line("ERROR", code_of_error(error), detail) + self._ready_line("-")
         )
 
+    def _write(self, data: bytes) -> None:
+        write_bytes(self._writer, data)
+
     def _ready_line(self, position: str) -> bytes:
         state = "I"
         if self.executor.is_in_transaction:
@@ -148,6 +172,12 @@
         async with self._lock:
             await self.executor.end_idle_transaction(now_s)
 
+    @property
+    def is_resting(self) -> bool:
+        """Whether it has been idle long enough that no request is on its way."""
+        idle_s = self._access.clock() - self._used_at_s
+        return not self.is_busy and idle_s > CLOSE_IDLE_AFTER_S
+
     def close(self) -> None:
         """Close the connection."""
         self._writer.close()
@@ -206,6 +236,25 @@
         for connection in list(self.connections):
             await connection.end_idle_transaction(now_s)
 
+    def move_idle(self, opened_before_s: float, count: int) -> int:
+        """Close some idle sessions, so that their callers come back elsewhere.
+
+        Args:
+            opened_before_s: Sessions opened later are left alone.
+            count: How many to close at most.
+
+        Returns:
+            How many were closed.
+        """
+        closed = 0
+        for connection in list(self.connections):
+            if closed == count:
+                break
+            if connection.is_resting and connection.opened_at_s < opened_before_s:
+                connection.close()
+                closed += 1
+        return closed
+
     async def drain(self, limit_s: float) -> bool:
         """Stop accepting, close idle sessions, and wait for the others.
 
--- a/pollencleat/platform/records.py
+++ b/pollencleat/platform/records.py
@@ -16,9 +16,6 @@
 
 READY = "ready"
 LEAVING = "draining"
-CONNECTIONS_A_SEAT = 4
-"""Connections of a share; a node needs two or three at once and one for orders."""
-
 OUTAGE_LIMIT_S = 15
 """How long writes go on without the store, and so how long a node waits before it
 promotes when nobody is left who can vouch for it; above the longest stated outage."""
@@ -92,10 +89,6 @@
     except msgspec.ValidationError as error:
         raise StoreError(f"malformed desired state: {error}") from error
     services = {service.name: service for service in desired.services}
-    smallest = min(
-        (service.connection_limit for service in desired.services),
-        default=DEFAULT_CONNECTIONS,
-    )
     return Inventory(
         version=desired.version,
         groups_by_id={
@@ -103,7 +96,7 @@
             for name, service in services.items()
         },
         rules=Rules(
-            seats=max(1, smallest // CONNECTIONS_A_SEAT),
+            seats=0,
             outage_limit_s=OUTAGE_LIMIT_S,
             transaction_idle_ms=desired.limits.transaction_idle_ms,
         ),
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -27,6 +27,7 @@
     parse_ready,
     read_line,
     tune_socket,
+    write_bytes,
 )
 
 USER = "pollencleat"
@@ -142,7 +143,7 @@
             raise BackendLostError("the connection is not usable")
         self._is_waiting = True
         try:
-            self._writer.write(line)
+            write_bytes(self._writer, line)
             await self._writer.drain()
             reply = await self._read_reply()
         except (OSError, MalformedStatementError) as error:
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -214,6 +214,25 @@
     return " ".join(fields).encode() + LINE_END
 
 
+def write_bytes(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Queue bytes on a connection.
+
+    Args:
+        writer: The connection.
+        data: Whole lines.
+
+    Raises:
+        ConnectionResetError: The connection is closed; the event loop raises an error
+            of no particular type then.
+    """
+    if writer.is_closing():
+        raise ConnectionResetError("the connection is closed")
+    try:
+        writer.write(data)
+    except RuntimeError as error:
+        raise ConnectionResetError(str(error)) from error
+
+
 async def read_line(reader: asyncio.StreamReader) -> str | None:
     """Read a line.
 
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+import structlog
+
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import FAILOVER_AFTER_S
 from pollencleat.core.data import (
@@ -15,6 +17,7 @@
     DatabaseGroup,
     Fleet,
     GroupTerm,
+    Position,
     Promotion,
 )
 from pollencleat.core.effects import (
@@ -35,6 +38,7 @@
     SightingRequest,
     State,
     StopWrites,
+    WritesEnded,
     WritesStopped,
 )
 from pollencleat.membership.fleet import (
@@ -57,6 +61,8 @@
     is_seen_by_peer,
 )
 
+log = structlog.get_logger()
+
 START_PURPOSE = "promotion start"
 PUBLISH_PURPOSE = "promotion publish"
 
@@ -184,12 +190,28 @@
         if suspect is None or suspect.suspicion is not suspicion:
             suspect = Suspect(suspicion, now_s)
             self.suspects_by_group[group_id] = suspect
+            self._log_suspicion(group_id, term, suspicion, now_s)
         if not self._is_suspect_due(group_id, term, suspect, now_s):
             return None
         old_primary = term.primary if term else ""
         planned = suspicion is Suspicion.LEAVING
         return self._make_promotion(old_primary, planned, suspicion.value)
 
+    def _log_suspicion(
+        self, group_id: str, term: GroupTerm | None, suspicion: Suspicion, now_s: float
+    ) -> None:
+        server_id = term.primary if term is not None else ""
+        view = self.board.server(server_id)
+        log.info(
+            "primary suspected",
+            group=group_id,
+            server=server_id,
+            reason=suspicion.value,
+            answered_ago_ms=round((now_s - view.answered_at_s) * 1000),
+            read_age_ms=round((now_s - self.board.fresh_at_s) * 1000),
+            fleet=self.board.fleet.version,
+        )
+
     def _is_suspect_due(
         self, group_id: str, term: GroupTerm | None, suspect: Suspect, now_s: float
     ) -> bool:
@@ -218,18 +240,18 @@
                 continue
             if now_s - board.server(server_id).answered_at_s < FAILOVER_AFTER_S:
                 return True
-            if self._is_registered_and_owes_nothing(server_id):
+            if self._is_registered_and_answers(server_id, now_s):
                 return True
         return term is None
 
-    def _is_registered_and_owes_nothing(self, server_id: str) -> bool:
+    def _is_registered_and_answers(self, server_id: str, now_s: float) -> bool:
         """Return whether a server that nobody samples may be taken as alive."""
         if server_id not in self.board.vms.servers_by_id:
             return False
         view = self.board.server(server_id)
         if view.refused_at_s is not None:
             return False
-        return view.asked_at_s is None or view.answered_at_s >= view.asked_at_s
+        return view.owes_for_s(now_s) < FAILOVER_AFTER_S
 
     def _rank(self, group_id: str) -> int:
         candidates = [
@@ -493,9 +515,21 @@
                 attempt.asked_at_s = now_s - CHOOSE_WAIT_S + ASK_AGAIN_S
             return
         attempt.chosen = chosen
+        self._tell_writes_ended(attempt, chosen)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
+    def _tell_writes_ended(self, attempt: Attempt, chosen: str) -> None:
+        """Let replicas go on answering reads until the next primary is published."""
+        board = self.board
+        status = attempt.statuses_by_server[chosen]
+        position = Position(status.last_entry_term, status.received_position)
+        message = WritesEnded(board.node_id, attempt.group_id, attempt.term, position)
+        board.ended_by_group[attempt.group_id] = message
+        for node_id in board.fleet.members_by_id:
+            if node_id != board.node_id:
+                board.send(node_id, message)
+
     def _advance_promoting(self, attempt: Attempt, now_s: float) -> None:
         if now_s - attempt.phase_since_s > STEP_LIMIT_S:
             attempt.enter(Phase.CHOOSING, now_s)
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -74,14 +74,11 @@
         now_s: Local time.
 
     Returns:
-        True after FAILOVER_AFTER_S, from the oldest open request where those are known.
+        True after FAILOVER_AFTER_S, from the first open request where those are known.
     """
-    if now_s - view.answered_at_s <= FAILOVER_AFTER_S:
-        return False
-    if view.asked_at_s is None:
-        return True
-    is_owing = view.answered_at_s < view.asked_at_s
-    return is_owing and now_s - view.asked_at_s > FAILOVER_AFTER_S
+    if view.is_tracked:
+        return view.owes_for_s(now_s) > FAILOVER_AFTER_S
+    return now_s - view.answered_at_s > FAILOVER_AFTER_S
 
 
 def make_sighting(board: Blackboard, server_id: str, now_s: float) -> Sighting:
--- a/pollencleat/routing/placement.py
+++ b/pollencleat/routing/placement.py
@@ -17,7 +17,7 @@
 AGE_MARGIN_S = 0.15
 """Kept back from an age limit for the way from the caller and to the server."""
 
-OTHER_DOMAIN_COST = 0.5
+OTHER_DOMAIN_COST = 2.0
 """Statements in use that a server in another failure domain counts as."""
 
 BEHIND_COST = 2.0
@@ -154,6 +154,4 @@
     """
     if view.refused_at_s is not None:
         return True
-    if view.asked_at_s is None or view.answered_at_s >= view.asked_at_s:
-        return False
-    return now_s - view.asked_at_s > QUIET_S
+    return view.owes_for_s(now_s) > QUIET_S
