Use the open connections of a server that is full

Ruled out: fewer seats (they are not used up). Change: a pool that is refused for lack of room waits for the connections it has and opens no more for a second.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -13,6 +13,7 @@
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import (
     BackendError,
+    BackendFullError,
     BackendUnreachableError,
     OverloadedError,
 )
@@ -21,6 +22,9 @@
 MONITOR_CONNECTIONS = 1
 """Connections of the share that are kept for sampling and commands."""
 
+FULL_PAUSE_S = 1.0
+"""Time for which no connection is opened to a server that had no room for one."""
+
 OPEN_TIMEOUT_S = 2.0
 MIN_RETRY_AFTER_MS = 20
 ANY_TERM = 0
@@ -92,6 +96,7 @@
         self.allowed = 0
         self._open_to_server = open_to_server
         self._clock = clock
+        self._full_until_s: float | None = None
         self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
         self._openings: set[asyncio.Task] = set()
@@ -133,20 +138,45 @@
             OverloadedError: The wait would be, or was, too long.
             BackendUnreachableError: No connection could be opened.
         """
-        ticket = Ticket(customer_id, deadline_s)
-        await self._take_turn(ticket, queue_limit)
-        try:
-            entry = self._pop_idle(term, suits)
-            if entry is None:
-                entry = (await self._open(), term)
-        except BaseException:
-            self._wake(self.queue.release(ticket, self._clock()))
-            raise
+        while True:
+            ticket = Ticket(customer_id, deadline_s)
+            await self._take_turn(ticket, queue_limit)
+            try:
+                entry = self._pop_idle(term, suits)
+                if entry is None:
+                    entry = (await self._open(), term)
+                break
+            except BackendUnreachableError as error:
+                self._wake(self.queue.release(ticket, self._clock()))
+                if not self._is_full(error):
+                    raise
+            except BaseException:
+                self._wake(self.queue.release(ticket, self._clock()))
+                raise
         connection, opened_for_term = entry
         lease = Lease(connection, ticket, opened_for_term, self)
         self._leases.add(lease)
         return lease
 
+    def _is_full(self, error: BackendUnreachableError) -> bool:
+        """Return whether to wait for a connection that is open already.
+
+        Connections of processes that ended stay at the server for some seconds, so that
+        fewer than the share can be opened.
+        """
+        if not isinstance(error.__cause__, BackendFullError) or not self.open_count:
+            return False
+        self._full_until_s = self._clock() + FULL_PAUSE_S
+        self.queue.capacity = self.open_count
+        return True
+
+    def recover(self) -> None:
+        """Open connections up to the share again, a while after the server was full."""
+        if self._full_until_s is None or self._clock() < self._full_until_s:
+            return
+        self._full_until_s = None
+        self.allow(self.allowed)
+
     async def _take_turn(self, ticket: Ticket, queue_limit: int) -> None:
         refusal = self.queue.offer(ticket, queue_limit, self._clock())
         if refusal is not None:
--- a/pollencleat/backend/pool_test.py
+++ b/pollencleat/backend/pool_test.py
@@ -10,6 +10,7 @@
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import (
     BackendError,
+    BackendFullError,
     BackendUnreachableError,
     OverloadedError,
 )
@@ -187,3 +188,35 @@
     with pytest.raises(BackendUnreachableError, match="given up"):
         await borrowing
     assert pool.open_count == 0 and pool.queue.in_use == 0
+
+
+async def test_full_server_leaves_the_open_connections_in_use(opened):
+    """Regression: after a crash of all processes, statements failed while the server
+    still counted the dead processes' connections."""
+    pool = make_pool()
+    lease = await borrow(pool)
+
+    async def refuse():
+        raise BackendFullError("no room")
+
+    working = driver.open_connection
+    driver.open_connection = refuse
+    waiting = asyncio.create_task(borrow(pool))
+    await asyncio.sleep(0.01)
+    assert not waiting.done()
+    lease.give_back(True)
+    (await waiting).give_back(True)
+    assert pool.queue.capacity == 1
+    driver.open_connection = working
+    for _ in range(1200):
+        pool.recover()
+    assert pool.queue.capacity == SHARE - 1
+
+
+async def test_full_server_without_an_open_connection_is_unreachable(opened):
+    async def refuse():
+        raise BackendFullError("no room")
+
+    driver.open_connection = refuse
+    with pytest.raises(BackendUnreachableError):
+        await borrow(make_pool())
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -75,6 +75,7 @@
                 connections_allowed(self.board, server_id),
                 self.clock() - self._inventory_changed_at_s,
             )
+            pool.recover()
             if server_id in self.board.vms.leaving:
                 pool.close_idle()
             if allowed != pool.allowed:
--- a/pollencleat/core/errors.py
+++ b/pollencleat/core/errors.py
@@ -182,6 +182,10 @@
     """Nothing listens at the server's address."""
 
 
+class BackendFullError(BackendError):
+    """The server has as many connections from all callers as it accepts."""
+
+
 class BackendLostError(BackendError):
     """The connection to the backend server broke."""
 
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -5,6 +5,7 @@
 from pollencleat.core.data import BackendServer, Position, ServerStatus
 from pollencleat.core.errors import (
     BackendError,
+    BackendFullError,
     BackendLostError,
     BackendRefusedError,
     MalformedStatementError,
@@ -78,6 +79,8 @@
             BackendError: It refused, or the connection broke.
         """
         reply = await self._ask(encode_line("STARTUP", service, USER, server_id))
+        if reply.failure is ServerFailure.TOO_MANY:
+            raise BackendFullError(reply.detail)
         if reply.failure is not None:
             raise BackendError(f"{reply.failure}: {reply.detail}")
 
