--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -239,7 +239,8 @@
             self.open_count -= 1
             opening.cancel()
             raise BackendUnreachableError(
-                f"server {self.server.server_id}: {error}", 200
+                f"server {self.server.server_id}: {str(error) or type(error).__name__}",
+                200,
             ) from error
         except BaseException:
             self.open_count -= 1
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -230,10 +230,12 @@
             )
         except (BackendLostError, TimeoutError) as error:
             if transaction.has_written:
-                raise UnknownOutcomeError(f"no answer to the commit: {error}") from (
-                    error
-                )
-            raise TransactionLostError(f"no answer to the commit: {error}") from error
+                raise UnknownOutcomeError(
+                    f"no answer to the commit: {describe(error)}"
+                ) from (error)
+            raise TransactionLostError(
+                f"no answer to the commit: {describe(error)}"
+            ) from error
         if reply.failure is not None:
             raise self._commit_failure(transaction, reply)
         transaction.lease = None
@@ -353,7 +355,7 @@
         try:
             reply = await self._run(lease, work, None, limit_s, transaction.route)
         except (BackendError, TimeoutError) as error:
-            raise TransactionLostError(f"connection lost: {error}") from error
+            raise TransactionLostError(f"connection lost: {describe(error)}") from error
         transaction.used_at_s = self.access.clock()
         if reply.failure is not None:
             raise self._failure_in_transaction(reply)
@@ -395,7 +397,9 @@
         except (BackendError, TimeoutError) as error:
             lease.give_back(False)
             raise _NotRunHereError(
-                BackendUnreachableError(f"{target.server_id}: {error}", RETRY_AFTER_MS)
+                BackendUnreachableError(
+                    f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS
+                )
             ) from error
         except BaseException:
             lease.give_back(False)
@@ -441,7 +445,7 @@
             ) from error
         except BackendError as error:
             raise _NotRunHereError(
-                NoReplicaError(f"{target.server_id}: {error}", RETRY_AFTER_MS)
+                NoReplicaError(f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS)
             ) from error
         finally:
             lease.give_back(reusable)
@@ -476,7 +480,9 @@
         except (BackendError, TimeoutError) as error:
             lease.give_back(False)
             raise _NotRunHereError(
-                BackendUnreachableError(f"{target.server_id}: {error}", RETRY_AFTER_MS)
+                BackendUnreachableError(
+                    f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS
+                )
             ) from error
         except BaseException:
             lease.give_back(False)
@@ -496,7 +502,9 @@
             )
             reusable = not reply.in_transaction
         except (BackendError, TimeoutError) as error:
-            raise UnknownOutcomeError(f"{target.server_id}: {error}") from error
+            raise UnknownOutcomeError(
+                f"{target.server_id}: {describe(error)}"
+            ) from error
         finally:
             lease.give_back(reusable)
         if reply.failure is not None:
@@ -637,3 +645,14 @@
     def __init__(self, cause: CallerError) -> None:
         super().__init__(cause.detail)
         self.cause = cause
+
+
+def _unreachable(target: Target, error: Exception) -> _NotRunHereError:
+    """Return that a server could not be used, and that nothing ran there."""
+    reason = f"{target.server_id}: {describe(error)}"
+    return _NotRunHereError(BackendUnreachableError(reason, RETRY_AFTER_MS))
+
+
+def describe(error: Exception) -> str:
+    """Return what to tell of an error; some have no text of their own."""
+    return str(error) or type(error).__name__
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -60,6 +60,7 @@
         statuses_by_server: Answers in the current round of questions.
         seen_by_member: By incarnation, what each node that stopped writing had been
             told of the group's log.
+        position_by_server: What this node knew of each server's log beforehand.
         crashed_at_s: Until when a member that cannot tell any more may have
             acknowledged commits.
     """
@@ -81,6 +82,7 @@
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
     seen_by_member: dict[str, SeenPosition | None] = field(default_factory=dict)
     crashed_at_s: float = -1e9
+    position_by_server: dict[str, int] = field(default_factory=dict)
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Go on to a phase.
@@ -125,6 +127,11 @@
             board.incarnation: board.seen_positions(now_s).get(term.group_id)
         },
         crashed_at_s=find_newest_crash(board),
+        position_by_server={
+            server_id: view.status.received_position
+            for server_id, view in board.servers_by_id.items()
+            if view.status is not None
+        },
     )
 
 
@@ -211,6 +218,9 @@
         for server_id in server_ids
         if attempt.statuses_by_server.get(server_id)
     ]
+    if len(answered) < len(server_ids):
+        # The silent ones may still have what these have lost.
+        answered = [name for name in answered if not has_lost_log(attempt, name)]
     staying = [server_id for server_id in answered if server_id not in leaving]
     best = None
     best_key = (-1, -1, False)
@@ -225,6 +235,21 @@
     return best
 
 
+def has_lost_log(attempt: Attempt, server_id: str) -> bool:
+    """Return whether a server started again with nothing of what it had.
+
+    Args:
+        attempt: With the answers of the current round.
+        server_id: A server that answered.
+
+    Returns:
+        True if its log is empty and this node knows that it was not.
+    """
+    status = attempt.statuses_by_server[server_id]
+    known = attempt.position_by_server.get(server_id, 0)
+    return status.received_position == 0 and known > 0
+
+
 def has_every_acknowledged_commit(
     attempt: Attempt,
     group: DatabaseGroup,
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -79,3 +79,20 @@
 def test_higher_term_goes_before_a_longer_log():
     statuses = {"r1": make_status(9, term=3), "r2": make_status(2, term=4)}
     assert choose_server(make_attempt(statuses), SERVERS, ()) == "r2"
+
+
+def test_server_that_came_back_empty_is_not_chosen_while_others_are_silent():
+    """Regression (make demo): the killed primary came back empty, was the only one to
+    answer in time, and was made the primary again."""
+    attempt = make_attempt({"old": make_status(0), "r1": None, "r2": None})
+    attempt.position_by_server = {"old": 7, "r1": 7, "r2": 6}
+    servers = ("old", "r1", "r2")
+    assert choose_server(attempt, servers, ()) is None
+    attempt.statuses_by_server["r2"] = make_status(6)
+    assert choose_server(attempt, servers, ()) == "r2"
+
+
+def test_servers_that_all_came_back_empty_start_anew():
+    attempt = make_attempt({"old": make_status(0), "r1": make_status(0)})
+    attempt.position_by_server = {"old": 7, "r1": 7}
+    assert choose_server(attempt, ("old", "r1"), ()) == "old"
--- a/pollencleat/tools/main.py
+++ b/pollencleat/tools/main.py
@@ -4,10 +4,21 @@
 file; 3 refused by the API; 4 conflict with another operator; 5 no answer.
 """
 
-from pollencleat.tools import inventory_commands, report_commands, setup_commands
+from pollencleat.tools import (
+    inventory_commands,
+    log_commands,
+    report_commands,
+    setup_commands,
+)
 from pollencleat.tools.cli import cli as main
 
-__all__ = ["inventory_commands", "main", "report_commands", "setup_commands"]
+__all__ = [
+    "inventory_commands",
+    "log_commands",
+    "main",
+    "report_commands",
+    "setup_commands",
+]
 
 if __name__ == "__main__":
     main(prog_name="pollencleat")
