--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -4,7 +4,7 @@
 import os
 from dataclasses import dataclass
 
-from pollencleat.platform.application import PlatformApplication
+from pollencleat.daemon.entry_vm import PlatformApplication
 from pollencleat.platform.settings import Endpoint, PlatformSettings
 from pollencleat.reports.logs import BoundedOutput
 from standins.line_server import ServerGroup
--- a/pollencleat/platform/application.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -16,9 +16,10 @@
 from pollencleat.daemon.readiness import is_ready
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
+from pollencleat.engine.listener import SessionListener
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.peers.transport import make_curve_keys
-from pollencleat.platform.clients import ClientListener
+from pollencleat.platform.clients import ClientConnection
 from pollencleat.platform.endpoints import HttpEndpoints
 from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.orders import PlatformOrders
@@ -33,6 +34,7 @@
     make_inventory_watcher,
     make_servers_watcher,
 )
+from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import may_name_primary
 from pollencleat.reports.logs import BoundedOutput
 
@@ -89,7 +91,7 @@
         self.liveness = LivenessController(
             self.board, self.orders, self.access.doubted_servers, read_boottime_s
         )
-        self.listener = ClientListener(self.access)
+        self.listener = SessionListener(self.access, ClientConnection, MAX_LINE_BYTES)
         self.endpoints = HttpEndpoints()
         self._idle_check: asyncio.Task | None = None
         self._was_ready = False
--- a/pollencleat/daemon/main.py
+++ b/pollencleat/daemon/main.py
@@ -52,7 +52,7 @@
 
 def run_on_platform() -> None:
     """Run on the users' platform; settings problems end the process with a code."""
-    from pollencleat.platform.application import (
+    from pollencleat.daemon.entry_vm import (
         PlatformApplication,
         load_settings_of_environment,
     )
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -10,28 +10,23 @@
     PollencleatError,
     UnknownDatabaseError,
 )
+from pollencleat.core.sockets import write_bytes
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.executor import SessionExecutor
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import Answer
 from pollencleat.platform.wire import (
-    MAX_LINE_BYTES,
     LineTooLongError,
     code_of_error,
     encode_line,
     format_position,
     parse_statement,
     read_line,
-    tune_socket,
-    write_bytes,
 )
 
 START_LIMIT_S = 10.0
 """How long a connection may stay open without naming a database."""
 
-LISTEN_BACKLOG = 1024
-"""Connections that may wait to be accepted; a crowd returns after an outage."""
-
 JOIN_WAIT_S = 1.5
 """How long a start waits for a process that is joining; callers give up after 2 s."""
 
@@ -41,9 +36,6 @@
 CLOSE_IDLE_AFTER_S = 0.3
 """A session counts as idle after this time; a request may be on its way before."""
 
-DRAIN_POLL_S = 0.02
-"""Seconds between two looks at the sessions while the process drains."""
-
 TOO_LARGE = "TOOLARGE"
 
 log = structlog.get_logger()
@@ -185,94 +177,3 @@
     def abort(self) -> None:
         """Break the connection."""
         self._writer.transport.abort()
-
-
-class ClientListener:
-    """Listens for callers and keeps their connections."""
-
-    def __init__(self, access: ServerAccess) -> None:
-        """Prepare; start listens."""
-        self._access = access
-        self._server: asyncio.Server | None = None
-        self.connections: set[ClientConnection] = set()
-        self.port = 0
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen; the port is known afterwards.
-
-        Args:
-            host: Address.
-            port: Port, or 0 for one that the system chooses.
-        """
-        self._server = await asyncio.start_server(
-            self._serve, host, port, limit=MAX_LINE_BYTES, backlog=LISTEN_BACKLOG
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        tune_socket(writer)
-        connection = ClientConnection(self._access, reader, writer)
-        self.connections.add(connection)
-        try:
-            await connection.serve()
-        except (OSError, TimeoutError) as error:
-            self._access.metrics.count("connection_broken", type(error).__name__)
-        finally:
-            self.connections.discard(connection)
-            writer.close()
-
-    async def abandon(self) -> None:
-        """Break every connection at once, as the end of the process does."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self.connections):
-            connection.abort()
-
-    async def end_idle_transactions(self) -> None:
-        """Let go of servers that idle transactions hold."""
-        now_s = self._access.clock()
-        for connection in list(self.connections):
-            await connection.end_idle_transaction(now_s)
-
-    def move_idle(self, opened_before_s: float, count: int) -> int:
-        """Close some idle sessions, so that their callers come back elsewhere.
-
-        Args:
-            opened_before_s: Sessions opened later are left alone.
-            count: How many to close at most.
-
-        Returns:
-            How many were closed.
-        """
-        closed = 0
-        for connection in list(self.connections):
-            if closed == count:
-                break
-            if connection.is_resting and connection.opened_at_s < opened_before_s:
-                connection.close()
-                closed += 1
-        return closed
-
-    async def drain(self, limit_s: float) -> bool:
-        """Stop accepting, close idle sessions, and wait for the others.
-
-        Args:
-            limit_s: Longest wait in seconds.
-
-        Returns:
-            True if nothing was cut off.
-        """
-        if self._server is not None:
-            self._server.close()
-        deadline_s = self._access.clock() + limit_s
-        while self.connections and self._access.clock() < deadline_s:
-            for connection in list(self.connections):
-                if not connection.is_busy:
-                    connection.close()
-            await asyncio.sleep(DRAIN_POLL_S)
-        is_clean = not any(item.is_busy for item in self.connections)
-        for connection in list(self.connections):
-            connection.close()
-        return is_clean
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -10,6 +10,7 @@
     BackendRefusedError,
     MalformedStatementError,
 )
+from pollencleat.core.sockets import tune_socket, write_bytes
 from pollencleat.engine.statements import (
     Begin,
     Commit,
@@ -27,8 +28,6 @@
     parse_position,
     parse_ready,
     read_line,
-    tune_socket,
-    write_bytes,
 )
 
 USER = "pollencleat"
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -4,8 +4,6 @@
 """
 
 import asyncio
-import contextlib
-import socket
 from dataclasses import dataclass
 
 from pollencleat.core.data import Position
@@ -39,13 +37,6 @@
 MAX_LINE_BYTES = 1024 * 1024
 """Largest message; from the protocol."""
 
-UNACKNOWLEDGED_LIMIT_MS = 3_000
-"""Unacknowledged data closes a connection after this time; without it, a partition
-would hold a connection for minutes."""
-
-KEEPALIVE_S = 1
-"""Seconds of silence before, and between, keep-alive probes."""
-
 NO_POSITION = "-"
 OWN_REQUEST = "-"
 """Request id of statements that the proxy itself issues."""
@@ -214,25 +205,6 @@
     return " ".join(fields).encode() + LINE_END
 
 
-def write_bytes(writer: asyncio.StreamWriter, data: bytes) -> None:
-    """Queue bytes on a connection.
-
-    Args:
-        writer: The connection.
-        data: Whole lines.
-
-    Raises:
-        ConnectionResetError: The connection is closed; the event loop raises an error
-            of no particular type then.
-    """
-    if writer.is_closing():
-        raise ConnectionResetError("the connection is closed")
-    try:
-        writer.write(data)
-    except RuntimeError as error:
-        raise ConnectionResetError(str(error)) from error
-
-
 async def read_line(reader: asyncio.StreamReader) -> str | None:
     """Read a line.
 
@@ -256,26 +228,3 @@
         return data.rstrip(LINE_END).decode()
     except UnicodeDecodeError as error:
         raise MalformedStatementError("the line is no text") from error
-
-
-def tune_socket(writer: asyncio.StreamWriter) -> None:
-    """Make a connection notice that its other end is silent.
-
-    Args:
-        writer: An open connection.
-    """
-    sock = writer.get_extra_info("socket")
-    if sock is None:
-        return
-    options = (
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
-        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
-        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    )
-    # The other end may be gone already; the next read tells.
-    with contextlib.suppress(OSError):
-        for level, option, value in options:
-            sock.setsockopt(level, option, value)
