Lend both connections of a small share; one loop over servers for reads and writes

Ruled out: more seats (none are free). Change: nothing is kept back from a share of two or less if four connections belong to no share; an order's connection is then closed at once.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -18,9 +18,7 @@
     OverloadedError,
 )
 from pollencleat.limits.queue import ServerQueue, Ticket
-
-MONITOR_CONNECTIONS = 1
-"""Connections of the share that are kept for sampling and commands."""
+from pollencleat.limits.shares import ORDER_CONNECTIONS
 
 FULL_PAUSE_S = 1.0
 """Time for which no connection is opened to a server that had no room for one."""
@@ -96,19 +94,22 @@
         self.allowed = 0
         self._open_to_server = open_to_server
         self._clock = clock
+        self._reserved = ORDER_CONNECTIONS
         self._full_until_s: float | None = None
         self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
         self._openings: set[asyncio.Task] = set()
 
-    def allow(self, connections: int) -> None:
-        """Set how many connections may be open, the monitor's included.
+    def allow(self, connections: int, reserved: int = ORDER_CONNECTIONS) -> None:
+        """Set how many connections may be open, those for orders included.
 
         Args:
             connections: This node's share.
+            reserved: Connections of the share that are not lent.
         """
         self.allowed = connections
-        self.queue.capacity = max(0, connections - MONITOR_CONNECTIONS)
+        self._reserved = reserved
+        self.queue.capacity = max(0, connections - reserved)
         while self._idle and self.open_count > self.queue.capacity:
             self._close(self._idle.pop()[0])
         self._wake(self.queue.grant_waiting(self._clock()))
@@ -175,7 +176,7 @@
         if self._full_until_s is None or self._clock() < self._full_until_s:
             return
         self._full_until_s = None
-        self.allow(self.allowed)
+        self.allow(self.allowed, self._reserved)
 
     async def _take_turn(self, ticket: Ticket, queue_limit: int) -> None:
         refusal = self.queue.offer(ticket, queue_limit, self._clock())
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -6,7 +6,11 @@
 from pollencleat.backend.pool import ServerPool
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, GroupTerm, Inventory
-from pollencleat.limits.shares import connections_allowed, settled_share
+from pollencleat.limits.shares import (
+    connections_allowed,
+    reserved_connections,
+    settled_share,
+)
 
 WARM_CONNECTIONS = 3
 """Idle connections of a new term that are opened ahead of need."""
@@ -79,7 +83,7 @@
             if server_id in self.board.vms.leaving:
                 pool.close_idle()
             if allowed != pool.allowed:
-                pool.allow(allowed)
+                pool.allow(allowed, reserved_connections(self.board, server_id))
             if self._fell_silent(server_id):
                 pool.end_reads()
                 pool.close_idle()
@@ -117,7 +121,10 @@
                 continue
             pool = self._make_pool(server)
             # Nobody holds connections to a server that was not declared before.
-            pool.allow(connections_allowed(self.board, server_id))
+            pool.allow(
+                connections_allowed(self.board, server_id),
+                reserved_connections(self.board, server_id),
+            )
             self.pools_by_server[server_id] = pool
 
     def _follow_term(self, seen: GroupTerm, term: GroupTerm) -> None:
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -17,6 +17,7 @@
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.listener import SessionListener
+from pollencleat.limits.shares import reserved_connections
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.peers.transport import make_curve_keys
 from pollencleat.platform.clients import ClientConnection
@@ -77,7 +78,10 @@
         self._output = output
         self.client = ObjectClient(settings.store)
         self.orders = PlatformOrders(
-            self.board, settings.promotion, self._may_name_primary
+            self.board,
+            settings.promotion,
+            self._may_name_primary,
+            lambda server_id: reserved_connections(self.board, server_id) > 0,
         )
         self.access = ServerAccess(
             self.board, self.metrics, read_boottime_s, self._make_pool
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -59,6 +59,8 @@
 ROLLBACK_LIMIT_S = 1.0
 """How long a server may take to roll back; the connection is closed after that."""
 
+RunOn = Callable[[Lease, Target, Route, Work, float], Awaitable[Answer]]
+
 log = structlog.get_logger()
 _handlers_by_type: dict[type, Callable] = {}
 
@@ -334,8 +336,8 @@
             return await self._work_in_transaction(transaction, work, access)
         route = self.access.route_of(self.session.database)
         if access is Access.WRITE:
-            return await self._write(route, work)
-        return await self._read(route, work)
+            return await self._run_somewhere(route, work, False, self._write_on)
+        return await self._run_somewhere(route, work, True, self._read_on)
 
     async def _work_in_transaction(
         self, transaction: OpenTransaction, work: Work, access: Access
@@ -380,7 +382,7 @@
                 return
             except _NotRunHereError as error:
                 excluded.add(target.server_id)
-                self._give_up_after(error.cause, excluded)
+                self._give_up_after(error.cause)
 
     async def _begin_on(
         self, lease: Lease, target: Target, transaction: OpenTransaction
@@ -418,17 +420,20 @@
         transaction.lease = lease
         transaction.term = target.term
 
-    async def _read(self, route: Route, work: Work) -> Answer:
+    async def _run_somewhere(
+        self, route: Route, work: Work, is_read: bool, run_on: RunOn
+    ) -> Answer:
+        """Try servers one after the other until one has run the statement."""
         excluded: set[str] = set()
         deadline_s = self.access.clock() + route.statement_limit_ms / 1000
         while True:
-            target = self._choose(route, True, excluded)
+            target = self._choose(route, is_read, excluded)
             try:
                 lease = await self._borrow(target, route)
-                return await self._read_on(lease, target, route, work, deadline_s)
+                return await run_on(lease, target, route, work, deadline_s)
             except _NotRunHereError as error:
                 excluded.add(target.server_id)
-                self._give_up_after(error.cause, excluded)
+                self._give_up_after(error.cause)
 
     async def _read_on(
         self, lease: Lease, target: Target, route: Route, work: Work, deadline_s: float
@@ -459,18 +464,6 @@
             )
         return Answer(reply.rows, reply.receipt, reply.position)
 
-    async def _write(self, route: Route, work: Work) -> Answer:
-        excluded: set[str] = set()
-        deadline_s = self.access.clock() + route.statement_limit_ms / 1000
-        while True:
-            target = self._choose(route, False, excluded)
-            try:
-                lease = await self._borrow(target, route)
-                return await self._write_on(lease, target, route, work, deadline_s)
-            except _NotRunHereError as error:
-                excluded.add(target.server_id)
-                self._give_up_after(error.cause, excluded)
-
     async def _write_on(
         self, lease: Lease, target: Target, route: Route, work: Work, deadline_s: float
     ) -> Answer:
@@ -552,7 +545,7 @@
         self._trace.term = target.term.term if target.term is not None else 0
         return target
 
-    def _give_up_after(self, error: CallerError, excluded: set[str]) -> None:
+    def _give_up_after(self, error: CallerError) -> None:
         """Raise if the statement has been tried often enough."""
         self._trace.last_failure = error.detail
         if self._trace.tries >= TRIES:
--- a/pollencleat/limits/shares.py
+++ b/pollencleat/limits/shares.py
@@ -8,6 +8,16 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.inventory.forecast import connection_share
 
+ORDER_CONNECTIONS = 1
+"""Connections of a share that are kept for orders and questions to a server."""
+
+SMALL_SHARE = 2
+"""Largest share from which nothing is kept back."""
+
+UNSHARED_NEEDED = 4
+"""Connections beyond all shares that are enough for orders: a promoter, its successor
+and two nodes that ask a silent server."""
+
 IN_FORCE_S = 4.0
 """Time after which an accepted inventory is in force on every reachable node."""
 
@@ -35,6 +45,27 @@
     return connection_share(server.connections, seats)
 
 
+def reserved_connections(board: Blackboard, server_id: str) -> int:
+    """Return how many connections of the share are kept for orders and questions.
+
+    Args:
+        board: The node's state.
+        server_id: The server.
+
+    Returns:
+        One; none where the share is so small that statements would wait for a single
+        connection, and enough connections belong to no share.
+    """
+    server = board.inventory.servers_by_id.get(server_id)
+    if server is None or board.inventory.rules.seats:
+        return ORDER_CONNECTIONS
+    share = connections_allowed(board, server_id)
+    unshared = server.connections - share * board.fleet.seats
+    if share <= SMALL_SHARE and unshared >= UNSHARED_NEEDED:
+        return 0
+    return ORDER_CONNECTIONS
+
+
 def settled_share(held: int, allowed: int, known_for_s: float) -> int:
     """Return how much of a share may be used now.
 
--- a/pollencleat/limits/shares_test.py
+++ b/pollencleat/limits/shares_test.py
@@ -7,7 +7,12 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, Fleet, Inventory, Member, Rules
-from pollencleat.limits.shares import IN_FORCE_S, connections_allowed, settled_share
+from pollencleat.limits.shares import (
+    IN_FORCE_S,
+    connections_allowed,
+    reserved_connections,
+    settled_share,
+)
 
 
 @given(
@@ -46,3 +51,25 @@
     else:
         assert share == held
     assert settled_share(held, allowed, math.inf) == allowed
+
+
+def test_nothing_is_kept_back_from_a_small_share_if_enough_is_unshared():
+    """60 connections for 25 entry VMs are two each; statements get both."""
+    board = make_board_with_seats(connections=60, seats=26)
+    assert connections_allowed(board, "s") == 2
+    assert reserved_connections(board, "s") == 0
+    crowded = make_board_with_seats(connections=53, seats=26)
+    assert reserved_connections(crowded, "s") == 1
+    roomy = make_board_with_seats(connections=34, seats=5)
+    assert reserved_connections(roomy, "s") == 1
+
+
+def make_board_with_seats(connections, seats):
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    server = BackendServer("s", "g", "h", 1, "a", 6, connections)
+    board.inventory = Inventory(
+        1, servers_by_id={"s": server}, rules=replace(Rules(), seats=0)
+    )
+    member = Member("n", "n-1", "a", "", "", 0, True)
+    board.fleet = Fleet(1, {"n": member}, seats=seats)
+    return board
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -34,11 +34,14 @@
         board: Blackboard,
         promotion: Endpoint,
         may_name_primary: Callable[[str, int], bool],
+        may_keep: Callable[[str], bool],
     ) -> None:
         """Use the platform's promotion service at an address.
 
-        may_name_primary is asked, with group and fence, right before each call.
+        may_name_primary is asked, with group and fence, right before each call;
+        may_keep, whether a server's connection stays open after an order.
         """
+        self._may_keep = may_keep
         self._board = board
         self._may_name_primary = may_name_primary
         self._promotion_url = f"http://{promotion}/promotion"
@@ -129,7 +132,10 @@
         async def send() -> ServerStatus:
             async with lock:
                 connection = await self._connect(server_id)
-                return await connection.order(text)
+                status = await connection.order(text)
+                if not self._may_keep(server_id):
+                    connection.close()
+                return status
 
         return await _within_limit(send, f"{server_id}: {text}")
 
