--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -246,6 +246,9 @@
         True if its log is empty and this node knows that it was not.
     """
     status = attempt.statuses_by_server[server_id]
+    if not status.read_only and status.term >= attempt.log_term:
+        # This attempt has promoted it already, and the answer was lost.
+        return False
     known = attempt.position_by_server.get(server_id, 0)
     return status.received_position == 0 and known > 0
 
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -92,6 +92,16 @@
     assert choose_server(attempt, servers, ()) == "r2"
 
 
+def test_server_that_the_attempt_has_promoted_is_no_stranger():
+    """Regression: it had applied nothing when it was promoted, the answer was lost, and
+    the attempt then found no server."""
+    attempt = make_attempt(
+        {"old": None, "r1": make_status(0, read_only=False, term=4), "r2": None}
+    )
+    attempt.position_by_server = {"r1": 10, "r2": 10}
+    assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r1"
+
+
 def test_servers_that_all_came_back_empty_start_anew():
     attempt = make_attempt({"old": make_status(0), "r1": make_status(0)})
     attempt.position_by_server = {"old": 7, "r1": 7}
