Remove what nothing uses; tell a malformed address in the settings with its place

Cause: a list of names without a use; the new test of the settings found that a malformed address ended the process with a traceback.

--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -115,9 +115,6 @@
             store=store,
             promotion=store,
             grace_s=6.0,
-            register_interval_s=0.3,
-            domains=ZONES,
-            memory_mb=400,
         )
         node = PlatformApplication(settings, BoundedOutput(os.dup(self._null)))
         await node.start()
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -8,7 +8,6 @@
 from pollencleat.core.bounds import AcknowledgedBounds
 from pollencleat.core.data import BackendServer, GroupTerm, Position, Route
 from pollencleat.core.errors import (
-    DrainingError,
     UnknownDatabaseError,
     WritesUnavailableError,
 )
@@ -73,15 +72,6 @@
             raise UnknownDatabaseError(f"unknown database {database!r}")
         return route
 
-    def require_accepting(self) -> None:
-        """Check that this node takes new work.
-
-        Raises:
-            DrainingError: The process is about to end.
-        """
-        if self.board.draining:
-            raise DrainingError(f"node {self.board.node_id} is stopping", 0)
-
     def require_writable(self, group_id: str) -> GroupTerm:
         """Return the term under which writes may be sent now.
 
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -398,11 +398,7 @@
             )
         except (BackendError, TimeoutError) as error:
             lease.give_back(False)
-            raise _NotRunHereError(
-                BackendUnreachableError(
-                    f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS
-                )
-            ) from error
+            raise _unreachable(target, error) from error
         except BaseException:
             lease.give_back(False)
             raise
@@ -472,11 +468,7 @@
             name = await self._prepare_link(lease, work)
         except (BackendError, TimeoutError) as error:
             lease.give_back(False)
-            raise _NotRunHereError(
-                BackendUnreachableError(
-                    f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS
-                )
-            ) from error
+            raise _unreachable(target, error) from error
         except BaseException:
             lease.give_back(False)
             raise
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -30,7 +30,6 @@
 
     Attributes:
         grace_s: Seconds between the request to stop and the kill.
-        register_interval_s: Seconds between two entries of a registered server.
     """
 
     node_id: str
@@ -43,19 +42,12 @@
     store: Endpoint
     promotion: Endpoint
     grace_s: float
-    register_interval_s: float
-    domains: tuple[str, ...]
-    memory_mb: int
 
 
 class _Bounds(pydantic.BaseModel):
     grace_period_s: float
 
 
-class _Limits(pydantic.BaseModel):
-    memory_mb: int
-
-
 class _Listen(pydantic.BaseModel):
     frontend_address: str
     ready: str
@@ -69,11 +61,8 @@
     node_name: str
     ip: str
     zone: str
-    zones: dict[str, str]
     listen_addresses: _Listen
     internal_port_range: tuple[int, int]
-    heartbeat_interval_ms: int
-    limits: _Limits
     bounds: _Bounds
     platform: _Service
     cloud_api: _Service
@@ -93,8 +82,12 @@
     """
     try:
         boot = _BootFile.model_validate(json.loads(path.read_text()))
+        return _make_settings(boot)
     except (OSError, ValueError) as error:
         raise SettingsError(_locate_problems(path, error)) from error
+
+
+def _make_settings(boot: _BootFile) -> PlatformSettings:
     first_port = boot.internal_port_range[0]
     return PlatformSettings(
         node_id=boot.node_name,
@@ -107,9 +100,6 @@
         store=parse_endpoint(boot.platform.address),
         promotion=parse_endpoint(boot.cloud_api.address),
         grace_s=boot.bounds.grace_period_s,
-        register_interval_s=boot.heartbeat_interval_ms / 1000,
-        domains=tuple(sorted(boot.zones)),
-        memory_mb=boot.limits.memory_mb,
     )
 
 
