Hand a caller's first TLS message on when it comes with the wish for TLS

Ruled out: certificate and time limits; load only makes both arrive together. Change: what was read already is fed to the TLS layer.

--- a/bench/tls_test.py
+++ b/bench/tls_test.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import datetime
+import socket
 import ssl
+import struct
 import urllib.request
 from dataclasses import replace
 
@@ -82,6 +84,25 @@
         connection.close()
         return rows, is_encrypted
 
+    def greet_in_one_segment():
+        """Send the wish for TLS and the first TLS message together."""
+        incoming, outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        insecure = ssl.create_default_context(cafile=certificate)
+        tls = insecure.wrap_bio(incoming, outgoing, server_hostname="localhost")
+        with socket.create_connection((HOST, node.callers_port), 5) as sock:
+            sock.recv(4096)
+            flags = 0x800 | 0x200 | 0x8000 | 0x80000
+            wish = struct.pack("<IIB23x", flags, 1 << 24, 45)
+            data = struct.pack("<I", len(wish) | 1 << 24) + wish
+            while True:
+                try:
+                    tls.do_handshake()
+                    return tls.version()
+                except ssl.SSLWantReadError:
+                    sock.sendall(data + outgoing.read())
+                    data = b""
+                    incoming.write(sock.recv(16384))
+
     def use_as_operator():
         url = node.admin.address.replace(HOST, "localhost") + "/v1/status"
         headers = {"Authorization": f"Bearer {ADMIN_TOKEN}"}
@@ -90,6 +111,7 @@
             return response.status
 
     try:
+        assert await asyncio.to_thread(greet_in_one_segment) == "TLSv1.3"
         assert await asyncio.to_thread(use_as_caller) == (((5,),), True)
         assert node.admin.address.startswith("https://")
         assert await asyncio.to_thread(use_as_operator) == 200
--- a/pollencleat/callers/stream.py
+++ b/pollencleat/callers/stream.py
@@ -1,6 +1,7 @@
 """Framing of packets to and from a caller, with a limit on what is accepted."""
 
 import asyncio
+from ssl import SSLContext
 
 from mysql_mimic.stream import ConnectionClosed, MysqlStream
 from mysql_mimic.types import Capabilities
@@ -41,7 +42,30 @@
         self.write_text_rows = self._inner.write_text_rows
         self.drain = self._inner.drain
         self.reset_seq = self._inner.reset_seq
-        self.start_tls = self._inner.start_tls
+
+    async def start_tls(self, context: SSLContext) -> None:
+        """Go on with TLS.
+
+        A caller may send its first TLS message right behind its wish for TLS.  What has
+        been read already has to be handed to the TLS layer, which the library leaves
+        out; it is fed in after the layer has been connected and before more is read.
+
+        Args:
+            context: Certificate and key.
+        """
+        early = bytes(self.reader._buffer)
+        self.reader._buffer.clear()
+        transport = self.writer.transport
+        loop = asyncio.get_running_loop()
+
+        def feed() -> None:
+            protocol = transport.get_protocol()
+            protocol.get_buffer(len(early))[: len(early)] = early
+            protocol.buffer_updated(len(early))
+
+        if early:
+            loop.call_soon(loop.call_soon, feed)
+        await self._inner.start_tls(context)
 
     async def read(self) -> bytes:
         """Read one command or handshake packet.
