--- a/bench/model_test.py
+++ b/bench/model_test.py
@@ -42,6 +42,13 @@
         "1's start takes effect; tick; tick; tick; 2 reads the platform; "
         "heartbeat from 2 to 1; 1 makes a server writable in term 1",
     ),
+    "only the successor of a vouched member is an heir": (
+        2,
+        "2 reads the platform; 2 joins; 2 restarts; tick; tick; tick; "
+        "2 vouches for itself as an heir; 2 sends a start; 2's start takes effect; "
+        "2 reads the platform; tick; tick; tick; heartbeat from 1 to 0; "
+        "2 makes a server writable in term 1",
+    ),
     "stop writing when told of a promotion": (
         2,
         "1 sends a start; 1's start takes effect; 1 reads the platform; "
