--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -72,7 +72,7 @@
     Attributes:
         max_age_ms: How old a read may be; 0 if only the primary may answer.
         statement_limit_ms: Time limit of a single statement.
-        target_latency_ms: Time within which a whole operation should be answered.
+        latency_objective_ms: Time within which a whole operation should be answered.
         priority: 0 is the most urgent.
     """
 
@@ -81,7 +81,7 @@
     freshness: Freshness
     max_age_ms: int
     statement_limit_ms: int
-    target_latency_ms: int
+    latency_objective_ms: int
     priority: int
 
 
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -24,8 +24,8 @@
 WAITING_STATEMENTS_LIMIT = 512
 """Statements of one client account that may wait for one server on this node."""
 
-QUEUE_SHARE_OF_TARGET = 0.5
-"""Share of the target latency that a statement may spend waiting for a connection."""
+QUEUE_SHARE_OF_OBJECTIVE = 0.5
+"""Share of the latency objective that a statement may wait for a connection."""
 
 
 class ServerAccess:
@@ -137,7 +137,7 @@
             BackendUnreachableError: No connection could be opened.
         """
         pool = self.pools.pools_by_server[target.server_id]
-        wait_s = route.target_latency_ms / 1000 * QUEUE_SHARE_OF_TARGET
+        wait_s = route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE
         term = target.term.term if target.term is not None else ANY_TERM
         return await pool.borrow(
             session.account,
--- a/pollencleat/platform/records.py
+++ b/pollencleat/platform/records.py
@@ -118,7 +118,7 @@
         freshness=_freshness_by_kind[route.kind],
         max_age_ms=route.max_staleness_ms,
         statement_limit_ms=route.timeout_ms,
-        target_latency_ms=route.target_latency_ms,
+        latency_objective_ms=route.target_latency_ms,
         priority=route.priority,
     )
 
