--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -347,3 +347,9 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", cluster.port())
     writer.write(b"HELLO\r\n")
     assert (await LineClient(reader, writer).read_answer()).error == "MALFORMED"
+
+
+async def test_caller_of_a_process_that_is_joining_waits_instead_of_failing(cluster):
+    node = await cluster.add_node(2)
+    client = await LineClient.connect(node.listener.port, "main-db")
+    assert not (await client.query("WRITE k early")).error
--- /dev/null
+++ b/pollencleat/engine/executor_test.py
@@ -0,0 +1,93 @@
+"""What a caller is told, row by row of the table in docs/design/platform.md."""
+
+import pytest
+
+from pollencleat.core.data import Outcome
+from pollencleat.core.errors import (
+    NotRunError,
+    TransactionLostError,
+    UnknownOutcomeError,
+)
+from pollencleat.engine.sessions_test import Sessions
+from pollencleat.engine.statements import Access, Begin, Commit, Work
+
+
+@pytest.fixture
+def sessions():
+    created = Sessions()
+    yield created
+    created.close()
+
+
+def write(sessions, fates=()):
+    return sessions.execute(0, Work("w1", Access.WRITE, "", "w"), fates)
+
+
+def begin_and_write(sessions):
+    assert sessions.execute(0, Begin("b1", False)) is None
+    sessions.expected[0].in_transaction = True
+    assert write(sessions) is None
+
+
+def lapse_after(sessions, checks):
+    """Let the permit pass a number of checks and fail after that."""
+    answers = iter([True] * checks)
+    sessions.access.is_still_writable = lambda term: next(answers, False)
+
+
+def test_refused_write_has_not_run(sessions):
+    error = write(sessions, ["refused"])
+    assert isinstance(error, NotRunError) and error.retry_after_ms
+    assert sessions.server.committed == []
+
+
+@pytest.mark.parametrize("fate", ["lost before", "lost after"])
+def test_write_without_an_answer_is_unknown_and_not_repeated(sessions, fate):
+    error = write(sessions, [fate])
+    assert isinstance(error, UnknownOutcomeError)
+    assert sessions.server.committed == (["w1"] if fate == "lost after" else [])
+
+
+def test_read_whose_connection_broke_is_not_told_as_unknown(sessions):
+    read = Work("r1", Access.READ, "", "r")
+    error = sessions.execute(0, read, ["lost after"])
+    assert error.outcome is Outcome.NOT_RUN
+
+
+def test_write_is_not_sent_after_the_permit_lapsed(sessions):
+    lapse_after(sessions, 0)
+    assert isinstance(write(sessions), NotRunError)
+    assert sessions.server.committed == []
+
+
+def test_write_answered_after_the_permit_lapsed_is_unknown(sessions):
+    lapse_after(sessions, 1)
+    assert isinstance(write(sessions), UnknownOutcomeError)
+    assert sessions.server.committed == ["w1"]
+
+
+def test_connection_lost_in_a_transaction_keeps_nothing(sessions):
+    begin_and_write(sessions)
+    assert isinstance(write(sessions, ["lost after"]), TransactionLostError)
+    assert isinstance(sessions.execute(0, Commit("c1")), TransactionLostError)
+    assert sessions.server.committed == []
+
+
+@pytest.mark.parametrize("fate", ["lost before", "lost after"])
+def test_commit_without_an_answer_is_unknown(sessions, fate):
+    begin_and_write(sessions)
+    error = sessions.execute(0, Commit("c1"), [fate])
+    assert isinstance(error, UnknownOutcomeError)
+
+
+def test_commit_is_not_sent_after_the_permit_lapsed(sessions):
+    begin_and_write(sessions)
+    lapse_after(sessions, 0)
+    assert isinstance(sessions.execute(0, Commit("c1")), TransactionLostError)
+    assert sessions.server.committed == []
+
+
+def test_commit_answered_after_the_permit_lapsed_is_unknown(sessions):
+    begin_and_write(sessions)
+    lapse_after(sessions, 1)
+    assert isinstance(sessions.execute(0, Commit("c1")), UnknownOutcomeError)
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -9,7 +9,10 @@
     with_member,
     without_member,
 )
-from pollencleat.membership.registration import RegistrationController
+from pollencleat.membership.registration import (
+    VOUCH_AFTER_S,
+    RegistrationController,
+)
 
 
 def make_board(node_id="n"):
@@ -108,3 +111,35 @@
     controller = RegistrationController(board)
     controller.tick(20.5)
     assert "n" not in board.effects.pop().fleet.members_by_id
+
+
+def make_restarted(address):
+    """Return a board whose node replaced a vouched process, with nobody left."""
+    vouched = replace(make_member("n", "old"), address="tcp://x:1")
+    fleet = with_member(Fleet(), vouched, 5)
+    fleet = with_member(fleet, replace(make_member("n", "n-1"), address=address), 5)
+    board = make_board()
+    board.adopt_fleet(replace(fleet, version=1), 10.0)
+    return board
+
+
+def vouches_for_itself(board, now_s):
+    board.fresh_at_s = now_s
+    controller = RegistrationController(board)
+    controller.tick(now_s)
+    return any(effect.fleet.members_by_id["n"].may_promote for effect in board.effects)
+
+
+def test_heir_vouches_for_itself_once_promises_have_lapsed():
+    """Regression (trouble-2): after all machines lost power nobody might promote."""
+    board = make_restarted("tcp://x:1")
+    assert board.fleet.members_by_id["n"].is_heir
+    assert not vouches_for_itself(board, 10.0 + VOUCH_AFTER_S - 0.1)
+    assert vouches_for_itself(board, 10.0 + VOUCH_AFTER_S + 0.1)
+
+
+def test_process_at_another_address_is_no_heir():
+    """The former process may still run there."""
+    board = make_restarted("tcp://y:1")
+    assert not board.fleet.members_by_id["n"].is_heir
+    assert not vouches_for_itself(board, 10.0 + VOUCH_AFTER_S + 0.1)
--- /dev/null
+++ b/pollencleat/promotion/controller_test.py
@@ -0,0 +1,61 @@
+import random
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import (
+    BackendServer,
+    DatabaseGroup,
+    Fleet,
+    GroupTerm,
+    Inventory,
+    Member,
+)
+from pollencleat.core.effects import UpdateFleet
+from pollencleat.promotion.controller import WARM_UP_S, PromotionController
+
+
+def make_board():
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    servers = {name: BackendServer(name, "g", "h", 1, "a", 4, 20) for name in "pr"}
+    group = DatabaseGroup("g", "g", (), ("p", "r"), 1)
+    board.inventory = Inventory(1, groups_by_id={"g": group}, servers_by_id=servers)
+    member = Member("n", "n-1", "a", "", "", 0, True)
+    board.fleet = Fleet(1, {"n": member}, {}, {"g": GroupTerm("g", 1, "p")})
+    return board
+
+
+def run(controller, board, times_s, is_fresh):
+    for now_s in times_s:
+        if is_fresh:
+            board.fresh_at_s = now_s
+        board.server("r").answered_at_s = now_s
+        controller.tick(now_s)
+    return [item for item in board.effects if isinstance(item, UpdateFleet)]
+
+
+def steps(begin_s, end_s):
+    return [begin_s + 0.05 * count for count in range(int((end_s - begin_s) * 20))]
+
+
+def test_node_that_was_cut_off_does_not_replace_a_primary_from_what_it_saw():
+    """Regression (trouble-2): a healthy primary was replaced 0.1 s after a cut."""
+    board = make_board()
+    controller = PromotionController(board, 0.0)
+    view = board.server("p")
+    view.note_request(5.0)
+    view.note_request_ended(5.0, True)
+    run(controller, board, steps(5.0, 6.0), True)
+    assert run(controller, board, steps(6.05, 7.0), False) == []
+    view.note_request(7.0)
+    assert run(controller, board, steps(7.0, 11.0), False) == []
+    assert run(controller, board, steps(11.0, 11.9), True) == []
+    view.note_request_ended(11.9, True)
+    assert run(controller, board, steps(11.9, 14.0), True) == []
+
+
+def test_primary_that_stays_silent_is_replaced_after_the_cut():
+    board = make_board()
+    controller = PromotionController(board, 0.0)
+    view = board.server("p")
+    view.note_request(7.0)
+    assert run(controller, board, steps(7.0, 11.0), False) == []
+    assert run(controller, board, steps(11.0, 11.0 + WARM_UP_S + 0.5), True)
