Let only a relay that asks a member judge that it is gone

Cause: on 25 entry VMs a member hears its relay and the stand-by only. Ruled out: the store (no call failed), lost heartbeats (the removed members went on sending to their relays), permits of 1.6 s (none lapsed without a removal of that member). Change: the relay of the member's failure domain judges, and one relay of another domain where nobody answers; a relay sends heartbeats to silent members itself, and counts silence from when it began to.

--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -353,7 +353,7 @@
 
     Returns:
         The relay and its stand-by of the own failure domain; for a relay also those of
-        every other one.
+        every other one, and members of its own that are silent.
     """
     is_relay = acts_as_relay(board, now_s)
     targets = []
@@ -361,6 +361,13 @@
         if domain != board.failure_domain and not is_relay:
             continue
         targets.extend(_take_until_live(board, members, now_s))
+        if is_relay and domain == board.failure_domain:
+            # A member that sends nothing is asked before it is taken for gone.
+            targets.extend(
+                member
+                for member in members
+                if member not in targets and not is_heard(board, member, now_s)
+            )
     return targets
 
 
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -17,7 +17,7 @@
 from pollencleat.core.data import Fleet, Member, RemovedMember
 from pollencleat.core.effects import FleetUpdated, UpdateFleet
 from pollencleat.core.index import rank_members
-from pollencleat.membership.beats import find_relay
+from pollencleat.membership.beats import acts_as_relay, find_relay
 from pollencleat.membership.fleet import (
     NO_SEAT,
     with_free_seats_taken,
@@ -50,6 +50,7 @@
         self.board = board
         self._pending = False
         self._tried_at_s = -1e9
+        self._relay_since_s: float | None = None
 
     def tick(self, now_s: float) -> None:
         """Try at most one change.
@@ -58,6 +59,7 @@
             now_s: Local time.
         """
         board = self.board
+        self._note_role(now_s)
         # Only relays read the platform; the others hear of its reads.
         platform_seen_at_s = max(board.read_answered_at_s, board.fresh_at_s)
         if self._pending or now_s - platform_seen_at_s > READ_IS_RECENT_S:
@@ -148,48 +150,54 @@
 
     def _evict(self, now_s: float) -> tuple[Fleet, str] | None:
         board = self.board
-        if not board.vms.version:
+        if not board.vms.version or self._relay_since_s is None:
             return None
         for member in board.fleet.members_by_id.values():
             if self._is_listed(member.node_id) or member.node_id == board.node_id:
                 continue
             if not self._is_silent(member, now_s):
                 continue
-            if self._find_evictor(member, now_s) != board.node_id:
+            if not self._is_judge_of(member, now_s):
                 continue
             fleet = without_member(board.fleet, member.node_id, resigned=False)
             return fleet, f"member {member.node_id} gone, removed by {board.node_id}"
         return None
 
+    def _note_role(self, now_s: float) -> None:
+        """Keep since when this node, as a relay, has asked silent members itself."""
+        if not acts_as_relay(self.board, now_s):
+            self._relay_since_s = None
+        elif self._relay_since_s is None:
+            self._relay_since_s = now_s
+
     def _is_silent(self, member: Member, now_s: float) -> bool:
         board = self.board
-        known_at_s = board.member_seen_at_s[member.incarnation]
+        known_at_s = max(
+            board.member_seen_at_s[member.incarnation], self._relay_since_s
+        )
         peer = board.peers_by_id.get(member.node_id)
         heard_at_s = peer.heard_at_s if peer else known_at_s
         return now_s - max(heard_at_s, known_at_s) > EVICT_AFTER_S
 
-    def _find_evictor(self, member: Member, now_s: float) -> str | None:
-        relay = find_relay(self.board, member.failure_domain, now_s)
-        if relay is not None:
-            return relay.node_id
-        others = list(self.board.fleet.members_by_id.values())
-        for candidate in rank_members("evict", others):
-            if self._is_listed(candidate.node_id):
-                return candidate.node_id
-            if self.board.vms.live is None and self._was_heard(candidate, now_s):
-                return candidate.node_id
-        return None
+    def _is_judge_of(self, member: Member, now_s: float) -> bool:
+        """Return whether this node exchanges heartbeats with a member, if it lives.
+
+        The relay of the member's failure domain does; if nobody there answers, so do
+        the relays of the other ones, of which one is chosen.
+        """
+        board = self.board
+        relay = find_relay(board, member.failure_domain, now_s)
+        if relay is None:
+            domains = board.index().members_by_domain
+            relays = [find_relay(board, domain, now_s) for domain in domains]
+            heard = [candidate for candidate in relays if candidate is not None]
+            relay = rank_members("evict", heard)[0]
+        return relay.node_id == board.node_id
 
     def _is_listed(self, node_id: str) -> bool:
         live = self.board.vms.live
         return live is not None and node_id in live
 
-    def _was_heard(self, member: Member, now_s: float) -> bool:
-        if member.node_id == self.board.node_id:
-            return True
-        peer = self.board.peers_by_id.get(member.node_id)
-        return peer is not None and now_s - peer.heard_at_s < EVICT_AFTER_S
-
     def _seat(self) -> tuple[Fleet, str] | None:
         board = self.board
         fleet = with_free_seats_taken(board.fleet, board.inventory.rules.seats)
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -1,12 +1,15 @@
 import random
 from dataclasses import replace
 
-from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import Fleet, Member
+from pollencleat.core.blackboard import Blackboard, PeerView
+from pollencleat.core.data import Fleet, Member, VmList
+from pollencleat.core.effects import FleetUpdated, UpdateFleet
+from pollencleat.membership.beats import BeatController
 from pollencleat.membership.fleet import (
     NO_SEAT,
     with_free_seats_taken,
     with_member,
+    with_voucher,
     without_member,
 )
 from pollencleat.membership.registration import (
@@ -143,3 +146,89 @@
     board = make_restarted("tcp://y:1")
     assert not board.fleet.members_by_id["n"].is_heir
     assert not vouches_for_itself(board, 10.0 + VOUCH_AFTER_S + 0.1)
+
+
+def make_two_domains(node_id):
+    """Return a board of domain a; its members are ordered as the index orders them."""
+    fleet = Fleet()
+    for name in (f"node{number}" for number in range(1, 10)):
+        fleet = with_member(fleet, make_member(name, f"{name}-1"), 0)
+    for name in ("b1", "b2", "b3"):
+        member = replace(make_member(name, f"{name}-1"), failure_domain="b")
+        fleet = with_member(fleet, member, 0)
+    for name in fleet.members_by_id:
+        fleet = with_voucher(fleet, name)
+    board = make_board(node_id)
+    board.failure_domain = fleet.members_by_id[node_id].failure_domain
+    board.adopt_fleet(replace(fleet, version=1), 10.0)
+    board.adopt_vms(VmList(1, None))
+    return board
+
+
+def run_for(board, heard, start_s, seconds):
+    """Let time pass while the given members are heard; return whom the node removed."""
+    controller = RegistrationController(board)
+    beats = BeatController(board)
+    removed = set()
+    asked = set()
+    for step in range(int(seconds * 10)):
+        now_s = start_s + step / 10
+        board.fresh_at_s = now_s
+        for name in heard:
+            view = board.peers_by_id.setdefault(name, PeerView())
+            view.heard_at_s = now_s
+        beats.tick(now_s)
+        controller.tick(now_s)
+        asked |= {envelope.to_node for envelope in board.outbox}
+        for effect in board.effects:
+            if isinstance(effect, UpdateFleet):
+                removed |= set(board.fleet.members_by_id) - set(
+                    effect.fleet.members_by_id
+                )
+                controller.on_updated(FleetUpdated(effect, 0), now_s)
+        board.effects.clear()
+        board.outbox.clear()
+    return removed, asked
+
+
+def order_of(board, domain):
+    return [member.node_id for member in board.index().members_by_domain[domain]]
+
+
+def test_member_that_exchanges_no_heartbeats_with_another_does_not_remove_it():
+    """Regression (25 nodes, quiet day): a member that is no relay hears only its relay
+    and the stand-by, took all others for silent, and removed them every few seconds."""
+    for domain in ("a", "b"):
+        order = order_of(make_two_domains("node1"), domain)
+        for name in order[2:]:
+            board = make_two_domains(name)
+            removed, _ = run_for(board, order[:2], 10.0, 30.0)
+            assert not removed
+
+
+def test_relay_removes_a_silent_member_of_its_domain_after_asking_it():
+    order = order_of(make_two_domains("node1"), "a")
+    board = make_two_domains(order[0])
+    others = order_of(board, "b")
+    removed, asked = run_for(board, [*order[1:-1], *others[:2]], 10.0, 30.0)
+    assert removed == {order[-1]}
+    assert order[-1] in asked
+
+
+def test_stand_by_that_takes_over_listens_before_it_removes_anybody():
+    order = order_of(make_two_domains("node1"), "a")
+    board = make_two_domains(order[1])
+    others = order_of(board, "b")
+    removed, _ = run_for(board, [*order[:1], *others[:2]], 10.0, 30.0)
+    assert not removed
+    removed, asked = run_for(board, others[:2], 40.0, 9.0)
+    assert not removed
+    assert set(order) - {order[1]} <= asked
+
+
+def test_one_relay_removes_the_members_of_a_domain_where_nobody_answers():
+    order = order_of(make_two_domains("node1"), "a")
+    board = make_two_domains(order[0])
+    removed, asked = run_for(board, order[1:], 10.0, 30.0)
+    assert removed and removed <= {"b1", "b2", "b3"}
+    assert {"b1", "b2", "b3"} <= asked
