Forget suspicions from behind a cut also while a start is open

Ruled out: peers that saw the primaries (they were asked; their answers came over connections that were still cut), a resent start (its version was newer). Change: the check comes first. Test in controller_test.py, failing before.

--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -150,15 +150,15 @@
 
     def _may_start(self, now_s: float) -> bool:
         board = self.board
-        if not board.is_member() or board.draining or self._start_pending:
-            return False
-        if not board.fleet.members_by_id[board.node_id].may_promote:
-            return False
         if now_s - board.fresh_at_s >= READ_IS_RECENT_S:
             # What was seen while this node was cut off says nothing of the servers.
             self.started_at_s = now_s
             self.suspects_by_group.clear()
             return False
+        if not board.is_member() or board.draining or self._start_pending:
+            return False
+        if not board.fleet.members_by_id[board.node_id].may_promote:
+            return False
         return now_s - self.started_at_s >= WARM_UP_S
 
     def _start_due_promotions(self, now_s: float) -> None:
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -1,4 +1,5 @@
 import random
+from dataclasses import replace
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import (
@@ -9,7 +10,7 @@
     Inventory,
     Member,
 )
-from pollencleat.core.effects import UpdateFleet
+from pollencleat.core.effects import FleetUpdated, UpdateFleet
 from pollencleat.promotion.controller import WARM_UP_S, PromotionController
 
 
@@ -52,6 +53,24 @@
     assert run(controller, board, steps(11.9, 14.0), True) == []
 
 
+def test_start_that_a_cut_left_open_does_not_let_old_suspicions_count():
+    """Regression (scale-1): while the answer to a start was missing, what the node saw
+    behind the cut was kept, and healthy primaries were replaced right after it."""
+    board = make_board()
+    controller = PromotionController(board, 0.0)
+    view = board.server("p")
+    view.note_request(5.0)
+    begun = run(controller, board, steps(5.0, 6.5), True)
+    assert len(begun) == 1
+    board.effects.clear()
+    assert run(controller, board, steps(6.5, 11.0), False) == []
+    controller.on_updated(FleetUpdated(begun[0], None), 11.0)
+    board.fleet = replace(board.fleet, version=2)
+    assert run(controller, board, steps(11.0, 11.5), True) == []
+    view.note_request_ended(11.5, True)
+    assert run(controller, board, steps(11.5, 14.0), True) == []
+
+
 def test_primary_that_stays_silent_is_replaced_after_the_cut():
     board = make_board()
     controller = PromotionController(board, 0.0)
