Wait for a removed process only until its permit has lapsed

Ruled out: members that do not confirm (all four had). Change: such processes leave the set that is waited for when their permits have lapsed, as the model has had it. Test in controller_test.py, failing before.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -194,12 +194,26 @@
     for incarnation, entry in board.fleet.removed_by_incarnation.items():
         if entry.resigned or incarnation == board.incarnation:
             continue
-        known_for_s = now_s - board.removed_seen_at_s[incarnation]
-        if known_for_s < REMOVED_WAIT_S:
+        if not has_permit_lapsed(board, incarnation, now_s):
             writers.add(incarnation)
     return writers
 
 
+def has_permit_lapsed(board: Blackboard, incarnation: str, now_s: float) -> bool:
+    """Return whether a process holds no permit because it was removed long enough ago.
+
+    Args:
+        board: The node's state.
+        incarnation: The process.
+        now_s: Local time.
+
+    Returns:
+        False for members and for processes that were removed lately.
+    """
+    removed_at_s = board.removed_seen_at_s.get(incarnation)
+    return removed_at_s is not None and now_s - removed_at_s >= REMOVED_WAIT_S
+
+
 def choose_server(
     attempt: Attempt, server_ids: tuple[str, ...], leaving: tuple[str, ...]
 ) -> str | None:
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -52,6 +52,7 @@
     begin_attempt,
     choose_server,
     has_every_acknowledged_commit,
+    has_permit_lapsed,
     is_caught_up,
 )
 from pollencleat.promotion.suspicion import (
@@ -424,6 +425,11 @@
                 self._advance_publishing(attempt)
 
     def _advance_stopping(self, attempt: Attempt, now_s: float) -> None:
+        attempt.waiting_for -= {
+            incarnation
+            for incarnation in attempt.waiting_for
+            if has_permit_lapsed(self.board, incarnation, now_s)
+        }
         if not attempt.waiting_for or now_s >= attempt.slow_deadline_s:
             attempt.enter(Phase.CHOOSING, now_s)
             return
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -9,8 +9,11 @@
     GroupTerm,
     Inventory,
     Member,
+    Promotion,
+    RemovedMember,
 )
 from pollencleat.core.effects import FleetUpdated, UpdateFleet
+from pollencleat.promotion.attempt import REMOVED_WAIT_S, Phase
 from pollencleat.promotion.controller import WARM_UP_S, PromotionController
 
 
@@ -71,6 +74,30 @@
     assert run(controller, board, steps(11.5, 14.0), True) == []
 
 
+def test_promoter_waits_for_a_removed_process_only_until_its_permit_has_lapsed():
+    """Regression (trouble-2): after a power loss of all nodes the promoter waited a
+    full permit longer than any of the dead processes could have held one."""
+    board = make_board()
+    fleet = replace(
+        board.fleet,
+        version=2,
+        members_by_id=board.fleet.members_by_id,
+        removed_by_incarnation={"old": RemovedMember("o", "old", False, 2)},
+    )
+    board.adopt_fleet(fleet, 10.0)
+    term = GroupTerm("g", 2, "", Promotion("n-1/1", "n", "n-1", "p", False, ""))
+    board.adopt_fleet(replace(fleet, version=3, terms_by_group={"g": term}), 11.0)
+    controller = PromotionController(board, 0.0)
+
+    def is_choosing(now_s):
+        controller.tick(now_s)
+        return controller.attempts_by_group["g"].phase is Phase.CHOOSING
+
+    assert not is_choosing(11.0)
+    assert not is_choosing(10.0 + REMOVED_WAIT_S - 0.05)
+    assert is_choosing(10.0 + REMOVED_WAIT_S + 0.05)
+
+
 def test_primary_that_stays_silent_is_replaced_after_the_cut():
     board = make_board()
     controller = PromotionController(board, 0.0)
