Count a member's silence only while this node asks it

Cause: the silence of a member that a relay had never heard was counted from when the relay took office. Ruled out: the removed ones being dead (seven registered again within 1 s). Change: silence counts from when heartbeats to the member began, and anew after time in which the platform could not be read. Two tests, failing before.

--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.blackboard import Blackboard, PeerView
 from pollencleat.core.constants import (
     CLOCK_DRIFT,
     EVICT_AFTER_S,
@@ -17,7 +17,7 @@
 from pollencleat.core.data import Fleet, Member, RemovedMember
 from pollencleat.core.effects import FleetUpdated, ReadPlatform, UpdateFleet
 from pollencleat.core.index import rank_members
-from pollencleat.membership.beats import acts_as_relay, find_relay
+from pollencleat.membership.beats import find_beat_targets, find_relay
 from pollencleat.membership.fleet import (
     NO_SEAT,
     with_free_seats_taken,
@@ -59,7 +59,7 @@
         self._pending = False
         self._next_try_s = -1e9
         self._conflicts = 0
-        self._relay_since_s: float | None = None
+        self._asked_since_s: dict[str, float] = {}
 
     def tick(self, now_s: float) -> None:
         """Try at most one change.
@@ -68,7 +68,7 @@
             now_s: Local time.
         """
         board = self.board
-        self._note_role(now_s)
+        self._note_whom_it_asks(now_s)
         if self._pending or now_s < self._next_try_s:
             return
         if self._joins_or_leaves():
@@ -201,7 +201,7 @@
 
     def _evict(self, now_s: float) -> tuple[Fleet, str] | None:
         board = self.board
-        if not board.vms.version or self._relay_since_s is None:
+        if not board.vms.version:
             return None
         gone = [
             member.node_id
@@ -218,21 +218,27 @@
             fleet = without_member(fleet, node_id, resigned=False)
         return fleet, f"members {', '.join(gone)} gone, removed by {board.node_id}"
 
-    def _note_role(self, now_s: float) -> None:
-        """Keep since when this node, as a relay, has asked silent members itself."""
-        if not acts_as_relay(self.board, now_s):
-            self._relay_since_s = None
-        elif self._relay_since_s is None:
-            self._relay_since_s = now_s
+    def _note_whom_it_asks(self, now_s: float) -> None:
+        """Keep since when this node has sent heartbeats to each member without a gap.
 
-    def _is_silent(self, member: Member, now_s: float) -> bool:
+        Time during which it could not read the platform does not count: it may have
+        been cut off or suspended itself.
+        """
         board = self.board
-        known_at_s = max(
-            board.member_seen_at_s[member.incarnation], self._relay_since_s
-        )
-        peer = board.peers_by_id.get(member.node_id)
-        heard_at_s = peer.heard_at_s if peer else known_at_s
-        return now_s - max(heard_at_s, known_at_s) > EVICT_AFTER_S
+        if now_s - board.fresh_at_s > READ_IS_RECENT_S:
+            self._asked_since_s = {}
+            return
+        self._asked_since_s = {
+            member.node_id: self._asked_since_s.get(member.node_id, now_s)
+            for member in find_beat_targets(board, now_s)
+        }
+
+    def _is_silent(self, member: Member, now_s: float) -> bool:
+        asked_since_s = self._asked_since_s.get(member.node_id)
+        if asked_since_s is None:
+            return False
+        peer = self.board.peers_by_id.get(member.node_id, PeerView())
+        return now_s - max(peer.heard_at_s, asked_since_s) > EVICT_AFTER_S
 
     def _is_judge_of(self, member: Member, now_s: float) -> bool:
         """Return whether this node exchanges heartbeats with a member, if it lives.
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -2,6 +2,7 @@
 from dataclasses import replace
 
 from pollencleat.core.blackboard import Blackboard, PeerView
+from pollencleat.core.constants import EVICT_AFTER_S
 from pollencleat.core.data import Fleet, Inventory, Member, VmList
 from pollencleat.core.effects import (
     FleetUpdated,
@@ -173,15 +174,16 @@
     return board
 
 
-def run_for(board, heard, start_s, seconds):
+def run_for(board, heard, start_s, seconds, controller=None, is_fresh=True):
     """Let time pass while the given members are heard; return whom the node removed."""
-    controller = RegistrationController(board)
+    controller = controller or RegistrationController(board)
     beats = BeatController(board)
     removed = set()
     asked = set()
     for step in range(int(seconds * 10)):
         now_s = start_s + step / 10
-        board.fresh_at_s = now_s
+        if is_fresh:
+            board.fresh_at_s = now_s
         for name in heard:
             view = board.peers_by_id.setdefault(name, PeerView())
             view.heard_at_s = now_s
@@ -227,9 +229,10 @@
     order = order_of(make_two_domains("node1"), "a")
     board = make_two_domains(order[1])
     others = order_of(board, "b")
-    removed, _ = run_for(board, [*order[:1], *others[:2]], 10.0, 30.0)
+    controller = RegistrationController(board)
+    removed, _ = run_for(board, [*order[:1], *others[:2]], 10.0, 30.0, controller)
     assert not removed
-    removed, asked = run_for(board, others[:2], 40.0, 9.0)
+    removed, asked = run_for(board, others[:2], 40.0, 9.0, controller)
     assert not removed
     assert set(order) - {order[1]} <= asked
 
@@ -242,6 +245,29 @@
     assert {"b1", "b2", "b3"} <= asked
 
 
+def test_members_that_a_relay_never_heard_are_asked_first_when_their_relays_go():
+    """Regression (grown scale-2): the moment the relays of a failure domain fell
+    silent, all its other members were removed, which nobody had asked yet."""
+    order = order_of(make_two_domains("node1"), "a")
+    board = make_two_domains(order[0])
+    others = order_of(board, "b")
+    controller = RegistrationController(board)
+    removed, _ = run_for(board, [*order[1:], *others[:2]], 10.0, 30.0, controller)
+    assert not removed
+    removed, _ = run_for(board, order[1:], 40.0, EVICT_AFTER_S - 0.5, controller)
+    assert not removed
+
+
+def test_relay_that_was_cut_off_asks_again_before_it_removes_anybody():
+    order = order_of(make_two_domains("node1"), "a")
+    board = make_two_domains(order[0])
+    controller = RegistrationController(board)
+    run_for(board, order[1:], 10.0, 5.0, controller)
+    run_for(board, (), 15.0, 20.0, controller, is_fresh=False)
+    removed, _ = run_for(board, (), 35.0, EVICT_AFTER_S - 0.5, controller)
+    assert not removed
+
+
 CALL_S = 0.004
 """One way to the platform and back takes twice this long."""
 
