--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -38,10 +38,10 @@
 
     @classmethod
     async def connect(
-        cls, port: int, database: str, account: str = "team"
+        cls, port: int, database: str, account: str = "team", host: str = HOST
     ) -> "LineClient":
         """Connect and start a session."""
-        reader, writer = await asyncio.open_connection(HOST, port, limit=2 << 20)
+        reader, writer = await asyncio.open_connection(host, port, limit=2 << 20)
         client = cls(reader, writer)
         writer.write(f"STARTUP {database} {account}\r\n".encode())
         answer = await client.read_answer()
@@ -51,8 +51,16 @@
 
     async def query(self, text: str) -> LineAnswer:
         """Send a statement with a new id and read its answer."""
+        return await self.send(self.next_id(), text)
+
+    def next_id(self) -> str:
+        """Return a new request id."""
         self._next_id += 1
-        self.writer.write(f"QUERY {self._next_id:016x} {text}\r\n".encode())
+        return f"{self._next_id:016x}"
+
+    async def send(self, request_id: str, text: str) -> LineAnswer:
+        """Send a statement and read its answer."""
+        self.writer.write(f"QUERY {request_id} {text}\r\n".encode())
         return await self.read_answer()
 
     async def read_answer(self) -> LineAnswer:
@@ -124,47 +132,11 @@
     async def put_configuration(self, **changes: object) -> None:
         """Write a desired state; each call has a higher version."""
         self.version += 3
-        kinds = {
-            "main-db": ("primary", None),
-            "old-db": ("bounded_staleness", 1500),
-            "own-db": ("read_your_writes", 2500),
-        }
-        kinds.update(changes.pop("routes", {}))
-        routes = []
-        for host, (kind, age_ms) in kinds.items():
-            if kind is None:
-                continue
-            route = {
-                "name": f"r-{host}",
-                "host": host,
-                "path_prefix": "/",
-                "kind": kind,
-                "timeout_ms": 1000,
-                "target_latency_ms": 400,
-                "priority": 1,
-                "service": "books",
-                "max_attempts": 2,
-            }
-            if age_ms is not None:
-                route["max_staleness_ms"] = age_ms
-            routes.append(route)
-        service = {
-            "name": "books",
-            "health_check_path": "/health",
-            "connection_limit": 30,
-            "protocol": "h1",
-            "tls": False,
-            "sync_replica_count": self.group.sync_count,
-        }
-        await self.store.put(
-            "config",
-            "main",
-            {
-                "version": changes.pop("version", self.version),
-                "routes": routes,
-                "services": [service],
-                "limits": {"transaction_idle_ms": 800},
-            },
+        await put_configuration(
+            self.store,
+            self.group,
+            changes.pop("version", self.version),
+            changes.pop("routes", {}),
         )
 
     def port(self, number: int = 0) -> int:
@@ -203,3 +175,62 @@
         await self.group.stop()
         await self.store.stop()
         os.close(self._null)
+
+
+async def put_configuration(
+    store: ObjectStoreStandIn,
+    group: ServerGroup,
+    version: int,
+    routes_by_host: dict[str, tuple[str | None, int | None]] | None = None,
+) -> None:
+    """Write a desired state with one route of each kind.
+
+    Args:
+        store: Where to.
+        group: The group that all routes lead to.
+        version: Its version.
+        routes_by_host: Kind and age limit in ms of further routes; a kind of None
+            leaves a route out.
+    """
+    kinds = {
+        "main-db": ("primary", None),
+        "old-db": ("bounded_staleness", 1500),
+        "own-db": ("read_your_writes", 2500),
+        **(routes_by_host or {}),
+    }
+    routes = []
+    for host, (kind, age_ms) in kinds.items():
+        if kind is None:
+            continue
+        route = {
+            "name": f"r-{host}",
+            "host": host,
+            "path_prefix": "/",
+            "kind": kind,
+            "timeout_ms": 1000,
+            "target_latency_ms": 400,
+            "priority": 1,
+            "service": group.name,
+            "max_attempts": 2,
+        }
+        if age_ms is not None:
+            route["max_staleness_ms"] = age_ms
+        routes.append(route)
+    service = {
+        "name": group.name,
+        "health_check_path": "/health",
+        "connection_limit": 30,
+        "protocol": "h1",
+        "tls": False,
+        "sync_replica_count": group.sync_count,
+    }
+    await store.put(
+        "config",
+        "main",
+        {
+            "version": version,
+            "routes": routes,
+            "services": [service],
+            "limits": {"transaction_idle_ms": 800},
+        },
+    )
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,9 +14,20 @@
 class Process:
     """A child process that prints its port on its first line."""
 
-    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
-        """Start it; its errors go to a file in the folder."""
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        folder: Path,
+        environment: dict[str, str] | None = None,
+    ) -> None:
+        """Start it; its errors go to a file in the folder.
+
+        With variables of its own it is a daemon that prints no port but its log, which
+        goes to the same file.
+        """
         self.name = name
+        self._environment = environment
         self.arguments = arguments
         self.log_path = folder / f"{name}.log"
         self._folder = folder
@@ -26,13 +37,20 @@
     def start(self) -> None:
         """Start it, or start it again after its end."""
         with self.log_path.open("ab") as log:
+            own = self._environment
             self._popen = subprocess.Popen(
                 [sys.executable, "-m", *self.arguments],
-                stdout=subprocess.PIPE,
+                stdout=subprocess.PIPE if own is None else log,
+                env=None if own is None else {**os.environ, **own},
                 stderr=log,
                 cwd=Path(__file__).parent.parent,
             )
 
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self._popen.poll() is None
+
     @property
     def pid(self) -> int:
         """Process id."""
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -55,12 +55,21 @@
 
 @dataclass(frozen=True)
 class Run:
-    """A statement that a server ran, with the session values that it saw."""
+    """A statement that a server ran, with the session values that it saw.
+
+    Attributes:
+        row: What a read returned.
+        log: The server's log, which only grows; the statement saw the first entries.
+        applied: How many of them.
+    """
 
     server_id: str
     request_id: str
     text: str
     values: tuple[tuple[str, str], ...]
+    row: str = ""
+    log: tuple[LogEntry, ...] | list[LogEntry] = ()
+    applied: int = 0
 
 
 class LineServer:
@@ -87,6 +96,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self.port = 0
+        self.public_port = 0
 
     async def start(self) -> None:
         """Listen on loopback, at the same port as before if there was one."""
@@ -108,6 +118,15 @@
         """Whether it listens."""
         return self._server is not None
 
+    async def restart(self) -> None:
+        """Start again with its log, as a replica if another was promoted."""
+        newest = max(server.term for server in self.group.servers)
+        if self.term < newest:
+            self.is_primary = False
+        self.held_for = 0
+        await self.start()
+        self.group.catch_up(self)
+
     async def restart_empty(self) -> None:
         """Start again under the same id and address with nothing in the log."""
         await self.stop()
@@ -125,7 +144,7 @@
         self.sequence += 1
         return {
             "service": self.group.name,
-            "address": f"127.0.0.1:{self.port}",
+            "address": f"127.0.0.1:{self.public_port or self.port}",
             "zone": self.zone,
             "version": "v1",
             "slots": 4,
@@ -253,15 +272,14 @@
         if session.in_transaction and not session.read_only and not self.is_primary:
             return self._error(session, "READONLY")
         await asyncio.sleep(self.group.work_s)
+        row = self._value_of(session, item) if access == "READ" else ""
+        values = tuple(sorted(session.values.items()))
         self.group.runs.append(
-            Run(self.server_id, request_id, text, tuple(sorted(session.values.items())))
+            Run(self.server_id, request_id, text, values, row, self.log, self.applied)
         )
         receipt = f"{self.server_id}.{request_id}"
         if access == "READ":
-            return (
-                f"DATAROW {self._value_of(session, item)}\r\nCOMPLETE {receipt}\r\n"
-                + self._ready(session)
-            )
+            return f"DATAROW {row}\r\nCOMPLETE {receipt}\r\n" + self._ready(session)
         session.writes.append((item, data, request_id))
         if not session.in_transaction and not await self._append(session):
             return self._error(session, "FAILED")
