Withdraw a change of primary when the old primary leads still

Change: in the first phase of a first attempt the old primary is asked whether it leads; if so it is published again with its servers' term, and nothing else is done. It is fenced when the phase ends, as before. The model has the step, and a mutation: withdrawing an attempt that follows another breaks it.

--- a/bench/model.py
+++ b/bench/model.py
@@ -44,6 +44,7 @@
     "stop writing when told of a promotion",
     "only a member writes",
     "a start is one conditional update",
+    "only a first attempt is withdrawn",
 )
 
 
@@ -55,6 +56,8 @@
         removed: Former members, each with the version that removed it.
         heirs: Members whose former process was vouched for and is dead: nobody can
             count promises without also requiring those of the dead one.
+        lead: Term in which the server became writable that is the primary.
+        taken_over: The attempt in progress follows one that did not end.
     """
 
     version: int
@@ -64,6 +67,8 @@
     term: int
     promoter: int | None
     heirs: frozenset[int] = frozenset()
+    lead: int = 0
+    taken_over: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,20 +147,6 @@
     return all(state.held[other] > 0 for other in others)
 
 
-def written_term(state: NodeState) -> int:
-    """Return the term under which a node would write.
-
-    Args:
-        state: The node.
-
-    Returns:
-        The published term that it knows; the one before while a promotion runs.
-    """
-    if state.known.promoter is not None:
-        return state.known.term - 1
-    return state.known.term
-
-
 def find_violation(state: State, rules: frozenset[str]) -> str | None:
     """Return how a state breaks the property.
 
@@ -167,9 +158,10 @@
         A description, or None.
     """
     for number, node in enumerate(state.nodes):
-        if written_term(node) < state.writable and may_write(number, node, rules):
+        lead = node.known.lead
+        if lead < state.writable and may_write(number, node, rules):
             return (
-                f"node {number} writes in term {written_term(node)}, a server is "
+                f"node {number} writes to the server of term {lead}, a server is "
                 f"writable in term {state.writable}"
             )
     return None
@@ -289,7 +281,11 @@
         yield from _start_steps(state, number, rules)
     if node.pending is not None and node.pending == store.version:
         started = replace(
-            store, version=store.version + 1, term=store.term + 1, promoter=number
+            store,
+            version=store.version + 1,
+            term=store.term + 1,
+            promoter=number,
+            taken_over=store.promoter is not None,
         )
         yield f"{number}'s start takes effect", replace(state, store=started)
     if _may_make_writable(number, node, rules):
@@ -355,7 +351,12 @@
         )
         yield f"{number} removes {other}", changed
     if store.promoter == number and state.writable >= store.term:
-        yield f"{number} publishes", with_store(state, number, promoter=None)
+        changed = with_store(state, number, promoter=None, lead=store.term)
+        yield f"{number} publishes", changed
+    only_first = "only a first attempt is withdrawn" in rules
+    nothing_done = store.promoter == number and state.writable < store.term
+    if nothing_done and not (store.taken_over and only_first):
+        yield f"{number} withdraws", with_store(state, number, promoter=None)
 
 
 def _start_steps(
--- a/bench/model_test.py
+++ b/bench/model_test.py
@@ -49,6 +49,13 @@
         "2 reads the platform; tick; tick; tick; heartbeat from 1 to 0; "
         "2 makes a server writable in term 1",
     ),
+    "only a first attempt is withdrawn": (
+        3,
+        "0 sends a start; 0's start takes effect; 0 reads the platform; "
+        "1 reads the platform; 1 sends a start; 1's start takes effect; "
+        "1 reads the platform; 1 withdraws; tick; tick; tick; 1 reads the platform; "
+        "0 makes a server writable in term 1",
+    ),
     "stop writing when told of a promotion": (
         2,
         "1 sends a start; 1's start takes effect; 1 reads the platform; "
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -271,6 +271,11 @@
         """Term that the servers write into their log under this primary."""
         return self.assigned_log_term or self.term
 
+    @property
+    def former_log_term(self) -> int:
+        """Term of the servers' log under the primary that is being replaced."""
+        return self.assigned_log_term or self.term - 1
+
     @property
     def next_log_term(self) -> int:
         """Term for orders to servers while the next primary is chosen."""
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -201,6 +201,29 @@
     return replace(fleet, terms_by_group=terms)
 
 
+def with_promotion_withdrawn(fleet: Fleet, group_id: str) -> Fleet:
+    """End a promotion with the primary that it was to replace, which leads still.
+
+    Nothing was done to any server, so that the servers' term and history stay.
+
+    Args:
+        fleet: A state in which the promotion is in progress.
+        group_id: The group.
+
+    Returns:
+        The changed state.
+    """
+    current = fleet.terms_by_group[group_id]
+    withdrawn = replace(
+        current,
+        primary=current.promotion.old_primary,
+        promotion=None,
+        assigned_log_term=current.former_log_term,
+    )
+    terms = {**fleet.terms_by_group, group_id: withdrawn}
+    return replace(fleet, terms_by_group=terms)
+
+
 def with_audit_entry(fleet: Fleet, entry: AuditEntry) -> Fleet:
     """Add an audit entry to the change that it describes.
 
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -28,6 +28,7 @@
     TermStart,
 )
 from pollencleat.core.messages import SeenPosition
+from pollencleat.promotion.suspicion import Suspicion
 
 REMOVED_WAIT_S = max(PERMIT_S, PROMISE_S) * (1 + 3 * CLOCK_DRIFT)
 """A removed member holds no permit after this time."""
@@ -61,6 +62,8 @@
         seen_by_member: By incarnation, what each node that stopped writing had been
             told of the group's log.
         position_by_server: What this node knew of each server's log beforehand.
+        is_old_asked: The old primary has been asked whether it leads still.
+        is_withdrawn: The old primary leads still and stays in office.
         crashed_at_s: Until when a member that cannot tell any more may have
             acknowledged commits.
     """
@@ -83,6 +86,8 @@
     seen_by_member: dict[str, SeenPosition | None] = field(default_factory=dict)
     crashed_at_s: float = -1e9
     position_by_server: dict[str, int] = field(default_factory=dict)
+    is_old_asked: bool = False
+    is_withdrawn: bool = False
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Go on to a phase.
@@ -135,6 +140,23 @@
     )
 
 
+def may_withdraw(attempt: Attempt) -> bool:
+    """Return whether the old primary may stay in office if it answers again.
+
+    Only while nothing was done to any server: in the first phase, and in the first
+    attempt since the primary was published, for the orders of an earlier one may still
+    be on their way.
+
+    Args:
+        attempt: The attempt.
+
+    Returns:
+        True for the replacement of a primary that was silent.
+    """
+    is_first = attempt.promotion.cause == Suspicion.LOST.value
+    return is_first and attempt.phase is Phase.STOPPING
+
+
 def find_newest_crash(board: Blackboard) -> float:
     """Return until when a member that did not resign may have acknowledged commits.
 
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -19,6 +19,7 @@
     GroupTerm,
     Position,
     Promotion,
+    ServerStatus,
 )
 from pollencleat.core.effects import (
     FenceServer,
@@ -45,6 +46,7 @@
     with_audit_entry,
     with_primary_published,
     with_promotion_started,
+    with_promotion_withdrawn,
 )
 from pollencleat.promotion.attempt import (
     Attempt,
@@ -54,6 +56,7 @@
     has_every_acknowledged_commit,
     has_permit_lapsed,
     is_caught_up,
+    may_withdraw,
 )
 from pollencleat.promotion.suspicion import (
     PeerSighting,
@@ -399,12 +402,26 @@
             attempt = begin_attempt(board, term, now_s)
             self.attempts_by_group[group_id] = attempt
             self._ask_to_stop(attempt, now_s)
-            if promotion.old_primary:
-                board.effects.append(
-                    FenceServer(
-                        promotion.attempt_id, promotion.old_primary, term.next_log_term
-                    )
-                )
+            if may_withdraw(attempt):
+                self._ask_old_primary(attempt)
+            else:
+                self._fence_old_primary(attempt)
+
+    def _ask_old_primary(self, attempt: Attempt) -> None:
+        """Ask whether it leads still; it may have been silent for a moment only."""
+        attempt.is_old_asked = True
+        promotion = attempt.promotion
+        self.board.effects.append(
+            ReadServerStatus(promotion.attempt_id, promotion.old_primary)
+        )
+
+    def _fence_old_primary(self, attempt: Attempt) -> None:
+        promotion = attempt.promotion
+        if not promotion.old_primary:
+            return
+        self.board.effects.append(
+            FenceServer(promotion.attempt_id, promotion.old_primary, attempt.log_term)
+        )
 
     def _advance_attempts(self, now_s: float) -> None:
         for group_id, attempt in list(self.attempts_by_group.items()):
@@ -431,10 +448,14 @@
             if has_permit_lapsed(self.board, incarnation, now_s)
         }
         if not attempt.waiting_for or now_s >= attempt.slow_deadline_s:
+            if may_withdraw(attempt):
+                self._fence_old_primary(attempt)
             attempt.enter(Phase.CHOOSING, now_s)
             return
         if now_s - attempt.asked_at_s >= ASK_AGAIN_S:
             self._ask_to_stop(attempt, now_s)
+            if may_withdraw(attempt) and not attempt.is_old_asked:
+                self._ask_old_primary(attempt)
 
     def _ask_to_stop(self, attempt: Attempt, now_s: float) -> None:
         board = self.board
@@ -503,11 +524,28 @@
             group = self.board.inventory.groups_by_id[attempt.group_id]
             if result.server_id not in group.server_ids:
                 continue
+            if may_withdraw(attempt):
+                self._withdraw_if_it_leads(attempt, result.status, now_s)
             if attempt.phase is not Phase.CHOOSING:
                 continue
             attempt.statuses_by_server[result.server_id] = result.status
             self._choose(attempt, group, now_s)
 
+    def _withdraw_if_it_leads(
+        self, attempt: Attempt, status: ServerStatus | None, now_s: float
+    ) -> None:
+        """Leave the old primary in office if it answers as the primary that it was."""
+        attempt.is_old_asked = False
+        term = self.board.group_term(attempt.group_id)
+        if status is None or status.read_only or status.held_for_term:
+            return
+        if status.term != term.former_log_term:
+            return
+        attempt.chosen = attempt.promotion.old_primary
+        attempt.is_withdrawn = True
+        attempt.enter(Phase.PUBLISHING, now_s)
+        self._advance_publishing(attempt)
+
     def _choose(self, attempt: Attempt, group: DatabaseGroup, now_s: float) -> None:
         server_ids = group.server_ids
         others = [name for name in server_ids if name != attempt.promotion.old_primary]
@@ -592,13 +630,17 @@
                 continue
             if not self._is_current(other):
                 continue
-            fleet = with_primary_published(
-                fleet, other.group_id, other.chosen, other.start
-            )
+            if other.is_withdrawn:
+                fleet = with_promotion_withdrawn(fleet, other.group_id)
+                causes.append(f"{other.group_id}: {other.chosen} answers again")
+            else:
+                fleet = with_primary_published(
+                    fleet, other.group_id, other.chosen, other.start
+                )
+                causes.append(f"{other.group_id}: {other.chosen} in term {other.term}")
+                self._order_replicas(other)
             self._publish_pending.add(other.group_id)
-            causes.append(f"{other.group_id}: {other.chosen} in term {other.term}")
             fleet = with_audit_entry(fleet, self._make_audit_entry(other))
-            self._order_replicas(other)
         if not causes:
             return
         board.effects.append(
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -11,8 +11,16 @@
     Member,
     Promotion,
     RemovedMember,
+    ServerStatus,
 )
-from pollencleat.core.effects import FleetUpdated, UpdateFleet
+from pollencleat.core.effects import (
+    FenceServer,
+    FleetUpdated,
+    PromoteServer,
+    ServerStatusRead,
+    UpdateFleet,
+)
+from pollencleat.core.messages import WritesStopped
 from pollencleat.promotion.attempt import REMOVED_WAIT_S, Phase
 from pollencleat.promotion.controller import WARM_UP_S, PromotionController
 
@@ -98,6 +106,62 @@
     assert is_choosing(10.0 + REMOVED_WAIT_S + 0.05)
 
 
+def begin_attempt_of(cause, log_term=7):
+    """Return a controller in the first phase, since another member does not confirm."""
+    board = make_board()
+    other = Member("m", "m-1", "a", "", "", 1, True)
+    promotion = Promotion("n-1/1", "n", "n-1", "p", False, cause)
+    fleet = replace(
+        board.fleet,
+        version=2,
+        members_by_id={**board.fleet.members_by_id, "m": other},
+        terms_by_group={"g": GroupTerm("g", 4, "", promotion, (), log_term)},
+    )
+    board.adopt_fleet(fleet, 10.0)
+    controller = PromotionController(board, 0.0)
+    controller.tick(10.0)
+    return board, controller
+
+
+def tell_status(controller, read_only, term=7):
+    status = ServerStatus(term, 5, 5, term, read_only, None)
+    controller.on_status_read(ServerStatusRead("n-1/1", "p", status), 10.1)
+
+
+def kinds_of(board):
+    return [type(effect) for effect in board.effects]
+
+
+def test_promotion_is_withdrawn_when_the_old_primary_leads_still():
+    """Regression (trouble-2): a primary that answered again 0.1 s after the start of
+    its replacement was replaced all the same, and nobody could write for 1.7 s."""
+    board, controller = begin_attempt_of("primary lost")
+    assert FenceServer not in kinds_of(board)
+    tell_status(controller, read_only=False)
+    change = board.effects[-1].fleet.terms_by_group["g"]
+    assert (change.primary, change.promotion) == ("p", None)
+    assert (change.term, change.log_term) == (4, 7)
+    assert PromoteServer not in kinds_of(board)
+
+
+def test_promotion_goes_on_when_the_old_primary_leads_no_more():
+    for read_only, term in ((True, 7), (False, 8)):
+        board, controller = begin_attempt_of("primary lost")
+        tell_status(controller, read_only, term)
+        assert UpdateFleet not in kinds_of(board)
+        confirmed = WritesStopped("m", "m-1", "n-1/1")
+        controller.on_writes_stopped(confirmed, 10.2)
+        assert FenceServer in kinds_of(board)
+
+
+def test_attempt_that_follows_another_is_not_withdrawn():
+    """The order of the one before may still reach a server."""
+    board, controller = begin_attempt_of("promotion taken over")
+    assert FenceServer in kinds_of(board)
+    tell_status(controller, read_only=False)
+    assert UpdateFleet not in kinds_of(board)
+
+
 def test_primary_that_stays_silent_is_replaced_after_the_cut():
     board = make_board()
     controller = PromotionController(board, 0.0)
