Read from a primary only after it has said that it leads

Cause: a primary that starts again under its id with an empty log runs reads, as replicas do. A node took its answers for those of the primary until the registration showed the start: reads under a permit missed acknowledged commits, and the age bounds were taken from the empty log. Ruled out: replicas that lag (all reads were at the agreed primary, without a position), a second primary (the reads came before the change of primary). Change: after a connection broke, or when none is left, a read that rests on the permit waits until the server has accepted a write or a plain transaction, or says in its status that it leads; and the position in its answer must reach what it had told before. Tests: platform_path_test.py, failing before, also for a node that has just joined.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -200,6 +200,24 @@
     assert all(run.server_id != "books-old" for run in cluster.group.runs)
 
 
+@pytest.mark.parametrize("node_is_new", [False, True])
+async def test_primary_that_came_back_empty_answers_no_read(cluster, node_is_new):
+    """Regression (soak, seeds 1001, 1015, 1027, 1034): a primary that had started again
+    with nothing ran reads as a replica does, before anybody knew of its start."""
+    writer = await cluster.connect("main-db", 0)
+    assert not (await writer.query("WRITE k kept")).error
+    await cluster.group.servers[0].restart_empty()
+    if node_is_new:
+        await cluster.add_node(2)
+    answers = []
+    for _ in range(60):
+        client = await cluster.connect("main-db", 2 if node_is_new else 1)
+        answers.append(await client.query("READ k"))
+        client.close()
+        await asyncio.sleep(0.02)
+    assert {answer.rows for answer in answers if not answer.error} <= {("kept",)}
+
+
 async def test_lost_primary_is_replaced_and_no_commit_is_lost(cluster):
     client = await cluster.connect("main-db", 1)
     acknowledged = []
--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -2,7 +2,8 @@
 
 Ordinary traffic shows for free that a server lives and how far its log is.  A question
 costs a slot, so only three kinds of servers are asked: a primary that has been quiet, a
-server that owes an answer, and one that is not known to follow the current primary.
+server that owes an answer, and one that is not known to follow the current primary;
+besides, sessions ask whether a primary leads when that is in doubt.
 """
 
 import asyncio
@@ -89,6 +90,14 @@
         ranked = rank_members(f"steward\0{group_id}", members)
         return bool(ranked) and ranked[0].node_id == self._board.node_id
 
+    def ask_now(self, server_id: str) -> None:
+        """Ask a server at once, unless a question is under way.
+
+        Args:
+            server_id: The server.
+        """
+        self._ask(server_id, self._clock())
+
     def _ask(self, server_id: str, now_s: float) -> None:
         running = self._tasks_by_server.get(server_id)
         if running is not None and not running.done():
@@ -107,6 +116,7 @@
             status = await self._orders.read_status(server_id)
         except BackendError as error:
             view.note_request_ended(self._clock(), False)
+            view.doubted_at_s = self._clock()
             refused = isinstance(error, BackendRefusedError)
             if refused and view.refused_at_s is None:
                 log.info("dependency lost", dependency=server_id, reason=str(error))
--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -226,6 +226,12 @@
             self._close(connection)
         return None
 
+    def has_live_connection(self) -> bool:
+        """Return whether a connection is open that its server has not ended."""
+        return any(connection.is_usable for connection, _ in self._idle) or any(
+            lease.connection.is_usable for lease in self._leases
+        )
+
     async def _open(self) -> PooledConnection:
         self.open_count += 1
         opening = asyncio.get_running_loop().create_task(self._open_to_server())
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -71,6 +71,10 @@
         is_tracked: Every request to the server is noted; otherwise it is sampled.
         open_requests: Requests that were sent and have neither an answer nor an end.
         owing_since_s: Since when the server has owed an answer and given none, or None.
+        doubted_at_s: When the server may last have started again without notice: an
+            answer was missing, or no connection was left.
+        led_in: Agreed term in which it last accepted what only a primary does, and
+            when that was sent.
     """
 
     status: ServerStatus | None = None
@@ -82,6 +86,8 @@
     is_tracked: bool = False
     open_requests: int = 0
     owing_since_s: float | None = None
+    doubted_at_s: float = -1e9
+    led_in: tuple[int, float] = (0, -1e9)
 
     def note_request(self, now_s: float) -> None:
         """Take in that a request was sent."""
--- a/pollencleat/core/bounds.py
+++ b/pollencleat/core/bounds.py
@@ -55,6 +55,19 @@
         while self.entries[0][0] < sent_at_s - KEPT_S:
             self.entries.popleft()
 
+    def newest_of(self, term: int) -> Position | None:
+        """Return the newest known position of a term's primary.
+
+        Args:
+            term: The agreed term of the group.
+
+        Returns:
+            The position, or None if none is known.
+        """
+        if term != self.term or not self.entries:
+            return None
+        return self.entries[-1][1]
+
     def position_since(self, since_s: float) -> Position | None:
         """Return what covers every commit acknowledged before a time.
 
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -95,6 +95,7 @@
         self.liveness = LivenessController(
             self.board, self.orders, self.access.doubted_servers, read_boottime_s
         )
+        self.access.ask_status = self.liveness.ask_now
         self.listener = SessionListener(self.access, ClientConnection, MAX_LINE_BYTES)
         self.endpoints = HttpEndpoints()
         self._idle_check: asyncio.Task | None = None
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -1,5 +1,6 @@
 """What sessions need from the node: routes, pools, permits and what answers tell."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from pollencleat.backend.pool import ANY_TERM, Lease, PooledConnection, ServerPool
@@ -15,6 +16,7 @@
 from pollencleat.engine.statements import ServerReply
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
+from pollencleat.routing.freshness import is_primary_confirmed
 from pollencleat.routing.placement import Target
 
 RETRY_AFTER_MS = 200
@@ -28,6 +30,14 @@
 """Share of the latency objective that a statement may wait for a connection."""
 
 
+CONFIRM_LIMIT_S = 0.2
+"""How long a read waits for a primary to confirm its role; a question takes some
+milliseconds, with a new connection."""
+
+CONFIRM_POLL_S = 0.02
+"""Seconds between two looks at whether it has, and between two questions."""
+
+
 class ServerAccess:
     """The node's servers as sessions see them."""
 
@@ -44,6 +54,7 @@
         self.clock = clock
         self.pools = ServerPools(board, clock, make_pool)
         self.doubted_servers: set[str] = set()
+        self.ask_status: Callable[[str], None] = self.note_doubt
         self.has_joined = False
 
     def follow_board(self, is_ready: bool) -> None:
@@ -166,6 +177,14 @@
         """
         self.board.server(server_id).note_request_ended(self.clock(), is_answered)
 
+    def note_lost(self, server_id: str) -> None:
+        """Note that a connection broke; the server may start again with nothing.
+
+        Args:
+            server_id: The server.
+        """
+        self.board.server(server_id).doubted_at_s = self.clock()
+
     def note_position(
         self, server_id: str, reply: ServerReply, sent_at_s: float, group_id: str
     ) -> None:
@@ -194,6 +213,9 @@
         Returns:
             The connection.
         """
+        pool = self.pools.pools_by_server.get(server_id)
+        if pool is None or not pool.has_live_connection():
+            self.note_lost(server_id)
         self.note_sent(server_id)
         is_answered = False
         try:
@@ -210,9 +232,51 @@
         term = writable_term(self.board, group_id, self.clock())
         if term is None or term.primary != server_id:
             return
+        if not is_primary_confirmed(self.board, term):
+            return
         bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
         bounds.add(term.term, sent_at_s, position)
 
+    def newest_position(self, term: GroupTerm | None) -> Position | None:
+        """Return the newest position that a primary has told.
+
+        Args:
+            term: The group's term; None for a read that does not rest on it.
+
+        Returns:
+            The position, or None if none is known.
+        """
+        if term is None:
+            return None
+        bounds = self.board.bounds_by_group.get(term.group_id)
+        return bounds.newest_of(term.term) if bounds is not None else None
+
+    async def is_confirmed(self, term: GroupTerm) -> bool:
+        """Wait until a primary has said that it leads, if that is in doubt.
+
+        Args:
+            term: The group's term.
+
+        Returns:
+            False if it has not said so in time.
+        """
+        deadline_s = self.clock() + CONFIRM_LIMIT_S
+        while not is_primary_confirmed(self.board, term):
+            if self.clock() > deadline_s:
+                return False
+            self.ask_status(term.primary)
+            await asyncio.sleep(CONFIRM_POLL_S)
+        return True
+
+    def note_lead(self, term: GroupTerm, sent_at_s: float) -> None:
+        """Take in that a server accepted what only a primary does.
+
+        Args:
+            term: The group's term, with the server.
+            sent_at_s: When it was sent.
+        """
+        self.board.server(term.primary).led_in = (term.term, sent_at_s)
+
     def note_doubt(self, server_id: str) -> None:
         """Have a server asked for its status soon, since it answered unexpectedly.
 
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -11,6 +11,7 @@
 import structlog
 
 from pollencleat.backend.pool import Lease
+from pollencleat.core.bounds import is_before
 from pollencleat.core.data import Position, Route
 from pollencleat.core.errors import (
     BackendError,
@@ -377,7 +378,7 @@
         while True:
             target = self._choose(route, transaction.read_only, excluded)
             try:
-                lease = await self._borrow(target, route)
+                lease = await self._borrow(target, route, transaction.read_only)
                 await self._begin_on(lease, target, transaction)
                 return
             except _NotRunHereError as error:
@@ -388,6 +389,8 @@
         self, lease: Lease, target: Target, transaction: OpenTransaction
     ) -> None:
         link: ServerLink = lease.connection
+        known = self.access.newest_position(target.term)
+        sent_at_s = self.access.clock()
         try:
             await self._prepare_link(lease, None)
             reply = await self._ask(
@@ -405,14 +408,13 @@
         if reply.failure is not None:
             lease.give_back(not reply.in_transaction)
             raise _NotRunHereError(self._refusal(target, reply))
-        if target.term is not None and not self.access.is_still_writable(target.term):
+        try:
+            self._require_current(target, reply, known, transaction.route)
+        except _NotRunHereError:
             lease.give_back(False)
-            raise _NotRunHereError(
-                WritesUnavailableError(
-                    self.access.why_not_writable(transaction.route.group_id),
-                    RETRY_AFTER_MS,
-                )
-            )
+            raise
+        if not transaction.read_only:
+            self.access.note_lead(target.term, sent_at_s)
         transaction.lease = lease
         transaction.term = target.term
 
@@ -425,7 +427,7 @@
         while True:
             target = self._choose(route, is_read, excluded)
             try:
-                lease = await self._borrow(target, route)
+                lease = await self._borrow(target, route, is_read)
                 return await run_on(lease, target, route, work, deadline_s)
             except _NotRunHereError as error:
                 excluded.add(target.server_id)
@@ -436,6 +438,7 @@
     ) -> Answer:
         lease.is_read = True
         reusable = False
+        known = self.access.newest_position(target.term)
         limit_s = deadline_s - self.access.clock()
         try:
             reply = await self._run(lease, work, target.at_least, limit_s, route)
@@ -452,13 +455,30 @@
             lease.give_back(reusable)
         if reply.failure is not None:
             raise _NotRunHereError(self._refusal(target, reply))
-        if target.term is not None and not self.access.is_still_writable(target.term):
+        self._require_current(target, reply, known, route)
+        return Answer(reply.rows, reply.receipt, reply.position)
+
+    def _require_current(
+        self, target: Target, reply: ServerReply, known: Position | None, route: Route
+    ) -> None:
+        """Raise if an answer that rests on a permit may come from an old log.
+
+        What the primary had told before the request was sent must still be there.
+        """
+        if target.term is None:
+            return
+        if not self.access.is_still_writable(target.term):
             raise _NotRunHereError(
                 WritesUnavailableError(
                     self.access.why_not_writable(route.group_id), RETRY_AFTER_MS
                 )
             )
-        return Answer(reply.rows, reply.receipt, reply.position)
+        if known is None:
+            return
+        if reply.position is None or is_before(reply.position, known):
+            self.access.note_doubt(target.server_id)
+            detail = f"{target.server_id}: has lost its log"
+            raise _NotRunHereError(NoReplicaError(detail, RETRY_AFTER_MS))
 
     async def _write_on(
         self, lease: Lease, target: Target, route: Route, work: Work, deadline_s: float
@@ -478,6 +498,7 @@
                 self.access.why_not_writable(route.group_id), RETRY_AFTER_MS
             )
         reusable = False
+        sent_at_s = self.access.clock()
         try:
             reply = await self._ask(
                 lease,
@@ -496,6 +517,7 @@
             raise self._write_failure(target, reply)
         if not self.access.is_still_writable(term):
             raise UnknownOutcomeError("the write permit lapsed before the answer")
+        self.access.note_lead(term, sent_at_s)
         self.session.note_commit(route.group_id, reply.position)
         return Answer(reply.rows, reply.receipt, reply.position)
 
@@ -543,11 +565,24 @@
         if self._trace.tries >= TRIES:
             raise error
 
-    async def _borrow(self, target: Target, route: Route) -> Lease:
+    async def _borrow(self, target: Target, route: Route, is_read: bool) -> Lease:
+        """Borrow a connection; for a read that rests on a permit, to a sure primary."""
         try:
-            return await self.access.borrow(target, route, self.session)
+            lease = await self.access.borrow(target, route, self.session)
         except (BackendUnreachableError, OverloadedError) as error:
             raise _NotRunHereError(error) from error
+        if not is_read or target.term is None:
+            return lease
+        is_confirmed = False
+        try:
+            is_confirmed = await self.access.is_confirmed(target.term)
+        finally:
+            if not is_confirmed:
+                lease.give_back(True)
+        if not is_confirmed:
+            detail = f"{target.server_id}: does not confirm that it leads"
+            raise _NotRunHereError(NoReplicaError(detail, RETRY_AFTER_MS))
+        return lease
 
     async def _prepare_link(self, lease: Lease, work: Work | None) -> str:
         """Restore the session on a connection; return the name to execute by."""
@@ -602,6 +637,9 @@
             reply = await request
             is_answered = True
             return reply
+        except BackendError:
+            self.access.note_lost(server_id)
+            raise
         finally:
             self.access.note_ended(server_id, is_answered)
 
--- a/pollencleat/engine/sessions_test.py
+++ b/pollencleat/engine/sessions_test.py
@@ -26,6 +26,7 @@
     Member,
     Position,
     Route,
+    ServerStatus,
 )
 from pollencleat.core.errors import BackendLostError, CallerError
 from pollencleat.engine import executor as executor_module
@@ -228,6 +229,13 @@
     access = ServerAccess(
         board, Metrics("n"), tick, lambda item: ServerPool(item, open_link, tick)
     )
+
+    def confirm(server_id):
+        view = board.server(server_id)
+        view.status = ServerStatus(1, 1, 1, 1, False, None)
+        view.status_sent_at_s = tick()
+
+    access.ask_status = confirm
     pool = ServerPool(board.inventory.servers_by_id["s"], open_link, tick)
     pool.allow(CONNECTIONS + 1)
     access.pools.pools_by_server["s"] = pool
--- a/pollencleat/routing/freshness.py
+++ b/pollencleat/routing/freshness.py
@@ -93,6 +93,28 @@
     )
 
 
+def is_primary_confirmed(board: Blackboard, term: GroupTerm) -> bool:
+    """Return whether the agreed primary has said that it leads since it was doubted.
+
+    A server that starts again under its id knows nothing of before.  It refuses writes
+    but runs reads, on an empty log.
+
+    Args:
+        board: The node's state.
+        term: The group's agreed term.
+
+    Returns:
+        True if nothing speaks against reads at the primary under a permit.
+    """
+    view = board.server(term.primary)
+    led_term, led_at_s = view.led_in
+    if led_term == term.term and led_at_s > view.doubted_at_s:
+        return True
+    if view.status is None or view.status_sent_at_s <= view.doubted_at_s:
+        return False
+    return is_primary_status(term, term.primary, view.status)
+
+
 def is_replica_status(term: GroupTerm, status: ServerStatus) -> bool:
     """Return whether a status is that of a replica of the agreed primary.
 
