Let one node ask idle primaries

Change: the group's steward asks; a node with traffic of its own sees silence by itself. Test: backend/liveness_test.py, failing before.

--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -26,7 +26,7 @@
 """A server that has owed an answer for this long is asked."""
 
 IDLE_S = 1.0
-"""A primary that has had nothing to answer for this long is asked."""
+"""A primary that has had nothing to answer for this long is asked, by one node."""
 
 CONFIRM_S = 0.8
 """Seconds between two questions to a server that is not known to be in line; below
@@ -77,7 +77,8 @@
         if term is None or not term.primary:
             return False
         if server_id == term.primary:
-            return now_s - view.answered_at_s > IDLE_S
+            is_idle = now_s - view.answered_at_s > IDLE_S
+            return is_idle and self._is_steward(group_id)
         if asked_ago_s < CONFIRM_S:
             return False
         server = board.inventory.servers_by_id[server_id]
--- /dev/null
+++ b/pollencleat/backend/liveness_test.py
@@ -0,0 +1,75 @@
+import random
+
+import pytest
+
+from pollencleat.backend.liveness import IDLE_S, QUIET_S, LivenessController
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import (
+    BackendServer,
+    DatabaseGroup,
+    Fleet,
+    GroupTerm,
+    Inventory,
+    Member,
+    ServerStatus,
+)
+
+NODES = ("n0", "n1", "n2", "n3", "n4")
+
+
+class Orders:
+    """Answers as the primary would, and counts the questions."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def read_status(self, server_id):
+        self.asked.append(server_id)
+        return ServerStatus(1, 1, 1, 1, False, None)
+
+
+def make_controller(node_id, clock):
+    board = Blackboard(node_id, f"{node_id}-1", "a", "", "", random.Random(1))
+    server = BackendServer("p", "g", "h", 1, "a", 4, 20)
+    board.inventory = Inventory(
+        1,
+        groups_by_id={"g": DatabaseGroup("g", "g", (), ("p",), 1)},
+        servers_by_id={"p": server},
+    )
+    members = {name: Member(name, f"{name}-1", "a", "", "", 0, True) for name in NODES}
+    board.fleet = Fleet(1, members, {}, {"g": GroupTerm("g", 1, "p")})
+    orders = Orders()
+    controller = LivenessController(board, orders, set(), lambda: clock["now"])
+    return board, controller, orders
+
+
+async def run_for(controller, clock, seconds):
+    for _ in range(int(seconds * 20)):
+        clock["now"] += 0.05
+        controller.tick()
+        for task in list(controller._tasks_by_server.values()):
+            await task
+
+
+@pytest.fixture
+def clock():
+    return {"now": 100.0}
+
+
+async def test_idle_primary_is_asked_by_one_node(clock):
+    """Regression (quiet days): every node asked every idle primary each second, and
+    status questions are the dearest calls of one of the sites."""
+    total = 0
+    for name in NODES:
+        _, controller, orders = make_controller(name, clock)
+        await run_for(controller, clock, 10 * IDLE_S)
+        total += len(orders.asked)
+    assert 8 <= total <= 11
+
+
+async def test_server_that_owes_an_answer_is_asked_by_whoever_waits(clock):
+    for name in NODES:
+        board, controller, orders = make_controller(name, clock)
+        board.server("p").note_request(clock["now"])
+        await run_for(controller, clock, QUIET_S + 0.2)
+        assert orders.asked
