Rank candidates among those that answered

Cause: a candidate waited 0.25 s for each member before it in rank, also for those behind a cut. Ruled out: no candidate among the servers, a peer that saw the primary. Change: for a silent primary the rank counts among those that answered the question about it. The mutation without vouchers takes the new argument.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -62,7 +62,7 @@
         )
 
     node.node.promotion._may_start = may_start
-    node.node.promotion._rank = lambda group_id: 0
+    node.node.promotion._rank = lambda group_id, among=None: 0
 
 
 def _ignore_promotion_in_progress(node: FakeNode) -> None:
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from collections.abc import Collection
 
 import structlog
 
@@ -227,14 +228,18 @@
     def _is_suspect_due(
         self, group_id: str, term: GroupTerm | None, suspect: Suspect, now_s: float
     ) -> bool:
-        wait_s = self._rank(group_id) * RANK_DELAY_S
         if suspect.suspicion is Suspicion.LOST:
             self._ask_peers(term.primary, suspect, now_s)
+            # Those that cannot answer are cut off or dead; nobody waits for their turn.
+            reachable = {self.board.node_id, *suspect.sightings_by_node}
+            wait_s = self._rank(group_id, reachable) * RANK_DELAY_S
             if not self._have_all_answered(suspect):
                 wait_s += ASK_PEERS_S
             for sighting in suspect.sightings_by_node.values():
                 if is_seen_by_peer(sighting, now_s):
                     return False
+        else:
+            wait_s = self._rank(group_id) * RANK_DELAY_S
         if not self._has_candidate(group_id, term, now_s):
             return False
         return now_s - suspect.since_s >= wait_s
@@ -265,11 +270,20 @@
             return False
         return view.owes_for_s(now_s) < FAILOVER_AFTER_S
 
-    def _rank(self, group_id: str) -> int:
+    def _rank(self, group_id: str, among: Collection[str] | None = None) -> int:
+        """Return this node's place among those that may promote.
+
+        Args:
+            group_id: The group.
+            among: Node ids that count, this one included; None for all members.
+
+        Returns:
+            0 for the node that should begin.
+        """
         candidates = [
             member
             for member in self.board.fleet.members_by_id.values()
-            if member.may_promote
+            if member.may_promote and (among is None or member.node_id in among)
         ]
         ranked = rank_members(group_id, candidates)
         ids = [member.node_id for member in ranked]
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -2,6 +2,7 @@
 from dataclasses import replace
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import FAILOVER_AFTER_S
 from pollencleat.core.data import (
     BackendServer,
     DatabaseGroup,
@@ -20,9 +21,15 @@
     ServerStatusRead,
     UpdateFleet,
 )
-from pollencleat.core.messages import WritesStopped
+from pollencleat.core.index import rank_members
+from pollencleat.core.messages import Sighting, WritesStopped
 from pollencleat.promotion.attempt import REMOVED_WAIT_S, Phase
-from pollencleat.promotion.controller import WARM_UP_S, PromotionController
+from pollencleat.promotion.controller import (
+    ASK_PEERS_S,
+    RANK_DELAY_S,
+    WARM_UP_S,
+    PromotionController,
+)
 
 
 def make_board():
@@ -162,6 +169,41 @@
     assert UpdateFleet not in kinds_of(board)
 
 
+def begins_after(answering):
+    """Return seconds from the suspicion to the start, where others could answer."""
+    board = make_board()
+    names = [f"m{number}" for number in range(5)]
+    members = {name: Member(name, f"{name}-1", "b", "", "", 1, True) for name in names}
+    members["n"] = board.fleet.members_by_id["n"]
+    board.fleet = replace(board.fleet, members_by_id=members)
+    controller = PromotionController(board, 0.0)
+    board.server("p").note_request(5.0)
+    run(controller, board, steps(5.0, 5.0 + FAILOVER_AFTER_S + 0.15), True)
+    suspected_s = controller.suspects_by_group["g"].since_s
+    for now_s in steps(suspected_s, suspected_s + 4.0):
+        for name in answering:
+            controller.on_sighting(Sighting(name, "p", 3.0, False), now_s)
+        if run(controller, board, [now_s], True):
+            return now_s - suspected_s
+    raise AssertionError("not begun")
+
+
+def test_candidate_does_not_wait_for_the_turn_of_nodes_that_cannot_answer():
+    """Regression (exportloket scale-2): the nodes of a failure domain that was cut off
+    were first in rank, and the others waited for them until the cut had healed."""
+    before = rank_of("n")
+    assert before > 0
+    assert begins_after([]) <= ASK_PEERS_S + 0.1
+    everybody = [f"m{number}" for number in range(5)]
+    assert begins_after(everybody) >= before * RANK_DELAY_S
+
+
+def rank_of(node_id):
+    names = [*(f"m{number}" for number in range(5)), "n"]
+    members = [Member(name, f"{name}-1", "b", "", "", 1, True) for name in names]
+    return [member.node_id for member in rank_members("g", members)].index(node_id)
+
+
 def test_primary_that_stays_silent_is_replaced_after_the_cut():
     board = make_board()
     controller = PromotionController(board, 0.0)
