--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -76,6 +76,7 @@
         self._reads_in_flight = 0
         self._tasks: set[asyncio.Task] = set()
         self._platform_answers = True
+        self._answered_sent_at_s = -1e9
 
     def run(self, effect: Effect) -> None:
         """Start carrying out an effect.
@@ -108,11 +109,15 @@
             self._metrics.count("platform_read_skipped")
             return
         self._reads_in_flight += 1
+        sent_at_s = self._clock()
         try:
             await self._read_objects()
         except StoreUnavailableError as error:
-            self._note_platform(False, str(error))
+            # A read from before the newest answer says nothing of now.
+            if sent_at_s >= self._answered_sent_at_s:
+                self._note_platform(False, str(error))
         else:
+            self._answered_sent_at_s = max(self._answered_sent_at_s, sent_at_s)
             self._note_platform(True, "")
         finally:
             self._reads_in_flight -= 1
