--- a/bench/processes.py
+++ b/bench/processes.py
@@ -35,7 +35,13 @@
         self.start()
 
     def start(self) -> None:
-        """Start it, or start it again after its end."""
+        """Start it, or start it again after its end.
+
+        Raises:
+            RuntimeError: It runs; nobody would end the one that is forgotten.
+        """
+        if self._popen is not None and self.is_running:
+            raise RuntimeError(f"{self.name} runs")
         with self.log_path.open("ab") as log:
             own = self._environment
             self._popen = subprocess.Popen(
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -116,13 +116,16 @@
     async def start_again_after(self, pause_s: float) -> None:
         """Start the process that was ended, after a while."""
         await asyncio.sleep(pause_s)
-        self.process.start()
+        if not self.process.is_running:
+            self.process.start()
         self.is_held_down = False
 
-    def kill(self) -> None:
-        """Kill the process, which stays down."""
+    def hold_down(self) -> bool:
+        """Claim the process for a fault that ends it; False if another fault has."""
+        if self.is_held_down:
+            return False
         self.is_held_down = True
-        self.process.kill()
+        return True
 
     def stop(self) -> None:
         """End the process at once."""
@@ -236,7 +239,7 @@
         """
         while True:
             for vm in self.vms:
-                if vm.process.is_running or vm.is_held_down:
+                if vm.process.is_running or not vm.hold_down():
                     continue
                 self._note(f"vm-{vm.number} ended by itself and is started again")
                 await vm.start_again_after(RESTART_S)
@@ -429,17 +432,20 @@
 async def kill_vm(soak: Soak) -> None:
     """Kill a process; it comes back after a while."""
     vm = soak.draw_vm()
-    vm.kill()
-    await vm.start_again_after(soak.random.uniform(0.2, 1.5))
+    pause_s = soak.random.uniform(0.2, 1.5)
+    if vm.hold_down():
+        vm.process.kill()
+        await vm.start_again_after(pause_s)
 
 
 @fault
 async def kill_all_vms(soak: Soak) -> None:
     """Kill all processes at once."""
-    for vm in soak.vms:
-        vm.kill()
+    held = [vm for vm in soak.vms if vm.hold_down()]
+    for vm in held:
+        vm.process.kill()
     await asyncio.gather(
-        *(vm.start_again_after(soak.random.uniform(0.2, 1.0)) for vm in soak.vms)
+        *(vm.start_again_after(soak.random.uniform(0.2, 1.0)) for vm in held)
     )
 
 
@@ -447,9 +453,9 @@
 async def stop_vm(soak: Soak) -> None:
     """Ask a process to stop; it is started again when it has ended."""
     vm = soak.draw_vm()
-    vm.is_held_down = True
-    await asyncio.to_thread(vm.process.terminate, 8.0)
-    await vm.start_again_after(RESTART_S)
+    if vm.hold_down():
+        await asyncio.to_thread(vm.process.terminate, 8.0)
+        await vm.start_again_after(RESTART_S)
 
 
 @fault
