--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: setup demo test lint format measure slopes parts model
+.PHONY: setup demo test lint format measure slopes parts model soak
 
 setup: $(VENV)/.installed
 
@@ -35,3 +35,6 @@
 
 model: setup
 	$(PY) -m bench.model
+
+soak: setup
+	$(PY) -m bench.soak --seeds 50 --jobs 2 --keep soak-failures
--- a/pollencleat/engine/executor_test.py
+++ b/pollencleat/engine/executor_test.py
@@ -5,6 +5,7 @@
 from pollencleat.core.data import Outcome
 from pollencleat.core.errors import (
     NotRunError,
+    StatementTimeoutError,
     TransactionLostError,
     UnknownOutcomeError,
 )
@@ -66,6 +67,18 @@
     assert sessions.server.committed == ["w1"]
 
 
+def test_read_without_an_answer_within_the_limit_timed_out(sessions):
+    error = sessions.execute(0, Work("r1", Access.READ, "", "r"), ["silent"])
+    assert isinstance(error, StatementTimeoutError)
+    assert error.outcome is not Outcome.NOT_RUN
+
+
+def test_write_without_an_answer_within_the_limit_is_unknown(sessions):
+    error = write(sessions, ["silent"])
+    assert isinstance(error, UnknownOutcomeError)
+    assert all(not link.is_usable for link in sessions.server.links)
+
+
 def test_connection_lost_in_a_transaction_keeps_nothing(sessions):
     begin_and_write(sessions)
     assert isinstance(write(sessions, ["lost after"]), TransactionLostError)
--- a/pollencleat/engine/sessions_test.py
+++ b/pollencleat/engine/sessions_test.py
@@ -113,6 +113,8 @@
         if fate == "lost before":
             self.is_usable = False
             raise BackendLostError("lost")
+        if fate == "silent":
+            await asyncio.Event().wait()
         reply = effect()
         if fate == "lost after":
             self.is_usable = False
