--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -251,7 +251,7 @@
         bounds = self.board.bounds_by_group.get(term.group_id)
         return bounds.newest_of(term.term) if bounds is not None else None
 
-    async def is_confirmed(self, term: GroupTerm) -> bool:
+    async def wait_until_confirmed(self, term: GroupTerm) -> bool:
         """Wait until a primary has said that it leads, if that is in doubt.
 
         Args:
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -575,7 +575,7 @@
             return lease
         is_confirmed = False
         try:
-            is_confirmed = await self.access.is_confirmed(target.term)
+            is_confirmed = await self.access.wait_until_confirmed(target.term)
         finally:
             if not is_confirmed:
                 lease.give_back(True)
