Do not suspect a primary of silence from before it led, or for declining

Servers of 3 slots and 51 connections answer most of the 108 openings that there is no room, and that counted as silence; the moment the primary was published every node suspected it, and no peer spoke for it, since only nodes that had asked for a status told when they had an answer. Change: a refusal by the wanted server is an answer; silence and refusals count from the publication on; answers to ordinary statements count in what peers tell; the log line of a suspicion names what it rests on. Before: suspicions of all four primaries in one moment, on every node seen.

--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -12,7 +12,11 @@
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.errors import BackendError, BackendRefusedError
+from pollencleat.core.errors import (
+    BackendDeclinedError,
+    BackendError,
+    BackendRefusedError,
+)
 from pollencleat.core.index import rank_members
 from pollencleat.core.ports import ServerOrders
 from pollencleat.routing.freshness import (
@@ -115,6 +119,9 @@
         view.note_request(sent_at_s)
         try:
             status = await self._orders.read_status(server_id)
+        except BackendDeclinedError:
+            view.note_request_ended(self._clock(), True)
+            return
         except BackendError as error:
             view.note_request_ended(self._clock(), False)
             view.doubted_at_s = self._clock()
--- a/pollencleat/backend/liveness_test.py
+++ b/pollencleat/backend/liveness_test.py
@@ -13,6 +13,7 @@
     Member,
     ServerStatus,
 )
+from pollencleat.core.errors import BackendDeclinedError
 
 NODES = ("n0", "n1", "n2", "n3", "n4")
 
@@ -73,3 +74,19 @@
         board.server("p").note_request(clock["now"])
         await run_for(controller, clock, QUIET_S + 0.2)
         assert orders.asked
+
+
+async def test_server_that_declines_a_question_is_alive(clock):
+    """Regression (grown Volta, scale-2): a primary that answered that it was busy, or
+    that it had too many connections, counted as silent and was replaced."""
+    board, controller, orders = make_controller("n0", clock)
+
+    async def decline(server_id):
+        raise BackendDeclinedError("busy")
+
+    orders.read_status = decline
+    board.server("p").note_request(clock["now"])
+    board.server("p").note_request_ended(clock["now"], False)
+    await run_for(controller, clock, 3.0)
+    assert board.server("p").owes_for_s(clock["now"]) == 0.0
+    assert clock["now"] - board.server("p").answered_at_s < 3.0
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -66,7 +66,7 @@
         status: Newest answer, or None.
         status_sent_at_s: When the question to that answer was sent.
         fresh_as_of_s: The server has everything that its primary had at this time.
-        refused_at_s: When the last connection was refused; cleared by an answer.
+        refused_at_s: When the newest connection was refused; cleared by an answer.
         applied: Position in the newest answer to ordinary traffic, if it told one.
         is_tracked: Every request to the server is noted; otherwise it is sampled.
         open_requests: Requests that were sent and have neither an answer nor an end.
--- a/pollencleat/core/errors.py
+++ b/pollencleat/core/errors.py
@@ -182,7 +182,11 @@
     """Nothing listens at the server's address."""
 
 
-class BackendFullError(BackendError):
+class BackendDeclinedError(BackendError):
+    """The server answered that it does not do what was asked; it is alive."""
+
+
+class BackendFullError(BackendDeclinedError):
     """The server has as many connections from all callers as it accepts."""
 
 
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -9,6 +9,7 @@
 from pollencleat.core.bounds import AcknowledgedBounds
 from pollencleat.core.data import BackendServer, GroupTerm, Position, Route
 from pollencleat.core.errors import (
+    BackendDeclinedError,
     UnknownDatabaseError,
     WritesUnavailableError,
 )
@@ -222,6 +223,9 @@
             connection = await opening
             is_answered = True
             return connection
+        except BackendDeclinedError:
+            is_answered = True
+            raise
         finally:
             self.note_ended(server_id, is_answered)
 
--- /dev/null
+++ b/pollencleat/engine/access_test.py
@@ -0,0 +1,27 @@
+import random
+
+import pytest
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.errors import BackendError, BackendFullError
+from pollencleat.engine.access import ServerAccess
+from pollencleat.reports.metrics import Metrics
+
+
+@pytest.mark.parametrize(
+    ("error", "owes"), [(BackendFullError("no room"), False), (BackendError("?"), True)]
+)
+async def test_server_that_has_no_room_owes_no_answer(error, owes):
+    """Regression (grown Volta, scale-2): a server that refused connections beyond its
+    limit seemed silent to 36 nodes, which replaced it."""
+    now_s = 10.0
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    access = ServerAccess(board, Metrics("n"), lambda: now_s, lambda server: None)
+
+    async def fail():
+        raise error
+
+    with pytest.raises(BackendError):
+        await access.open_tracked("p", fail())
+    now_s = 12.0
+    assert (board.server("p").owes_for_s(now_s) > 0) is owes
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -4,6 +4,7 @@
 
 from pollencleat.core.data import BackendServer, Position, ServerStatus
 from pollencleat.core.errors import (
+    BackendDeclinedError,
     BackendError,
     BackendFullError,
     BackendLostError,
@@ -81,7 +82,7 @@
         if reply.failure is ServerFailure.TOO_MANY:
             raise BackendFullError(reply.detail)
         if reply.failure is not None:
-            raise BackendError(f"{reply.failure}: {reply.detail}")
+            raise _declined(reply)
 
     async def begin(self, begin: Begin, at_least: Position | None) -> ServerReply:
         """Begin a transaction, if the server has applied a position."""
@@ -132,7 +133,7 @@
         """
         reply = await self._query(OWN_REQUEST, text)
         if reply.failure is not None:
-            raise BackendError(f"{text}: {reply.failure}: {reply.detail}")
+            raise _declined(reply)
         if not reply.rows:
             raise BackendLostError(f"{text}: answered without a row")
         return parse_status(reply.rows[0])
@@ -194,6 +195,14 @@
                 raise BackendLostError(f"unexpected line {line[:40]!r}")
 
 
+def _declined(reply: ServerReply) -> BackendError:
+    """Return the error for a refusal; another server's says nothing of the wanted."""
+    detail = f"{reply.failure}: {reply.detail}"
+    if reply.failure is ServerFailure.OTHER_SERVER:
+        return BackendError(detail)
+    return BackendDeclinedError(detail)
+
+
 def _after(at_least: Position | None) -> str:
     return f"WAITFOR {format_position(at_least)} " if at_least else ""
 
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -221,6 +221,9 @@
             server=server_id,
             reason=suspicion.value,
             answered_ago_ms=round((now_s - view.answered_at_s) * 1000),
+            owes_for_ms=round(view.owes_for_s(now_s) * 1000),
+            open_requests=view.open_requests,
+            refused=view.refused_at_s is not None,
             read_age_ms=round((now_s - self.board.fresh_at_s) * 1000),
             fleet=self.board.fleet.version,
         )
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -1,6 +1,8 @@
 import random
 from dataclasses import replace
 
+import pytest
+
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import FAILOVER_AFTER_S
 from pollencleat.core.data import (
@@ -30,6 +32,8 @@
     WARM_UP_S,
     PromotionController,
 )
+from pollencleat.promotion.suspicion import make_sighting
+from pollencleat.routing.freshness import record_silence
 
 
 def make_board():
@@ -211,3 +215,43 @@
     view.note_request(7.0)
     assert run(controller, board, steps(7.0, 11.0), False) == []
     assert run(controller, board, steps(11.0, 11.0 + WARM_UP_S + 0.5), True)
+
+
+def make_published(now_s):
+    """Return a board that learns of the primary now, with a request still open."""
+    board = make_board()
+    board.server("p").note_request(now_s - 3.0)
+    terms = {"g": GroupTerm("g", 2, "p")}
+    board.adopt_fleet(replace(board.fleet, version=2, terms_by_group=terms), now_s)
+    return board, PromotionController(board, 0.0)
+
+
+def test_silence_from_before_a_primary_was_published_does_not_count():
+    """Regression (grown Volta, scale-2): connections that every node had opened to all
+    candidates were not answered in time, and each primary was suspected in the moment
+    in which it was published."""
+    board, controller = make_published(10.0)
+    begun = run(controller, board, steps(10.0, 10.0 + FAILOVER_AFTER_S - 0.1), True)
+    assert not begun and not controller.suspects_by_group
+    assert run(controller, board, steps(10.7, 13.0), True)
+
+
+def test_refusal_from_before_a_primary_was_published_does_not_count():
+    board, controller = make_published(10.0)
+    view = board.server("p")
+    view.note_request_ended(9.0, True)
+    record_silence(board, "p", True, 9.5)
+    assert not run(controller, board, steps(10.0, 12.0), True)
+    record_silence(board, "p", True, 12.0)
+    assert run(controller, board, steps(12.0, 14.0), True)
+
+
+def test_ordinary_answers_speak_for_a_primary():
+    """Regression (grown Volta, scale-2): only nodes that had asked for a status said
+    that they had seen a server; those with statements answered by it did not."""
+    board = make_board()
+    view = board.server("p")
+    assert make_sighting(board, "p", 10.0).age_s is None
+    view.note_request(9.5)
+    view.note_request_ended(9.6, True)
+    assert make_sighting(board, "p", 10.0).age_s == pytest.approx(0.4)
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -7,6 +7,7 @@
 from pollencleat.core.constants import FAILOVER_AFTER_S
 from pollencleat.core.data import GroupTerm
 from pollencleat.core.messages import Sighting
+from pollencleat.membership.permits import NEVER_S
 
 REFUSED_COUNTS_S = 0.5
 """A refused connection speaks of the server's loss for this time."""
@@ -53,13 +54,15 @@
     if term.primary in board.vms.leaving:
         return Suspicion.LEAVING
     view = board.server(term.primary)
-    if view.refused_at_s is not None:
+    # What was seen before the primary was published does not count: its promoter has
+    # had an answer since, and an older status tells of its former role.
+    published_at_s = board.primary_seen_at_s.get(term.group_id, 0.0)
+    if view.refused_at_s is not None and view.refused_at_s > published_at_s:
         return Suspicion.LOST
-    if is_silent(view, now_s):
+    if now_s - published_at_s > FAILOVER_AFTER_S and is_silent(view, now_s):
         return Suspicion.LOST
     status = view.status
-    # An answer from before the primary was published tells of its former role.
-    if view.status_sent_at_s <= board.primary_seen_at_s.get(term.group_id, 0.0):
+    if view.status_sent_at_s <= published_at_s:
         return Suspicion.NONE
     if status is not None and (status.read_only or status.term != term.log_term):
         return Suspicion.DEMOTED
@@ -93,10 +96,11 @@
         The age of the newest answer and whether connections are refused.
     """
     view = board.servers_by_id.get(server_id)
-    if view is None or view.status is None:
+    if view is None:
         return Sighting(board.node_id, server_id, None, False)
-    refused = view.refused_at_s is not None
-    return Sighting(board.node_id, server_id, now_s - view.answered_at_s, refused)
+    # Answers to ordinary statements count too; most nodes never ask for a status.
+    age_s = now_s - view.answered_at_s if view.answered_at_s > NEVER_S else None
+    return Sighting(board.node_id, server_id, age_s, view.refused_at_s is not None)
 
 
 def is_seen_by_peer(sighting: PeerSighting, now_s: float) -> bool:
--- a/pollencleat/routing/freshness.py
+++ b/pollencleat/routing/freshness.py
@@ -71,7 +71,7 @@
         now_s: Local time.
     """
     view = board.server(server_id)
-    if refused and view.refused_at_s is None:
+    if refused:
         view.refused_at_s = now_s
 
 
