Ask whether a silent member lives before removing it

A node cannot tell whose links are cut from what it hears. Weighed: 'whoever hears nobody is cut off' leaves the last node of two unable to remove the other, and says nothing of a node that hears a few; asking through the platform serves both, and needs two changes of the fleet state a removal. Eviction is a module of its own. The tests of registration now accept each change and count doubts too, so that a doubt about a living member fails them as a removal did.

--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -291,6 +291,7 @@
             is there exactly if its change was accepted.
         seats: Shares into which connections are divided where the inventory declares no
             number; never shrinks, since a share that is given away is slow to return.
+        doubted: Incarnations of members that somebody takes for gone, sorted.
     """
 
     version: int = 0
@@ -299,6 +300,7 @@
     terms_by_group: dict[str, GroupTerm] = field(default_factory=dict)
     audit: tuple[AuditEntry, ...] = ()
     seats: int = 0
+    doubted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -60,6 +60,8 @@
     members_by_id[member.node_id] = replace(
         member, seat=seat, may_promote=alone, is_heir=_is_heir(previous, member)
     )
+    if previous is not None:
+        fleet = without_doubts(fleet, [previous])
     return replace(
         fleet,
         members_by_id=members_by_id,
@@ -121,7 +123,40 @@
     removed[member.incarnation] = RemovedMember(
         node_id, member.incarnation, resigned, fleet.version + 1
     )
-    return replace(fleet, members_by_id=members_by_id, removed_by_incarnation=removed)
+    return replace(
+        without_doubts(fleet, [member]),
+        members_by_id=members_by_id,
+        removed_by_incarnation=removed,
+    )
+
+
+def with_doubts(fleet: Fleet, members: list[Member]) -> Fleet:
+    """Ask whether members are alive.
+
+    Args:
+        fleet: The state to start from.
+        members: Members that are silent.
+
+    Returns:
+        The changed state.
+    """
+    added = {member.incarnation for member in members}
+    return replace(fleet, doubted=tuple(sorted({*fleet.doubted, *added})))
+
+
+def without_doubts(fleet: Fleet, members: list[Member]) -> Fleet:
+    """Delete the doubts about members.
+
+    Args:
+        fleet: The state to start from.
+        members: Members that are alive, or no members any more.
+
+    Returns:
+        The changed state.
+    """
+    settled = {member.incarnation for member in members}
+    kept = tuple(name for name in fleet.doubted if name not in settled)
+    return replace(fleet, doubted=kept)
 
 
 def with_voucher(fleet: Fleet, node_id: str) -> Fleet:
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -1,4 +1,4 @@
-"""Joining, vouching, leaving and removing.
+"""Joining, vouching and leaving.
 
 A newcomer may promote a server only after an existing member has vouched for it.  The
 member does so once all promises that it gave without knowing the newcomer have lapsed;
@@ -7,17 +7,12 @@
 
 import dataclasses
 
-from pollencleat.core.blackboard import Blackboard, PeerView
-from pollencleat.core.constants import (
-    CLOCK_DRIFT,
-    EVICT_AFTER_S,
-    PERMIT_S,
-    PROMISE_S,
-)
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import CLOCK_DRIFT, PERMIT_S, PROMISE_S
 from pollencleat.core.data import Fleet, Member, RemovedMember
 from pollencleat.core.effects import FleetUpdated, ReadPlatform, UpdateFleet
 from pollencleat.core.index import rank_members
-from pollencleat.membership.beats import find_beat_targets, find_relay
+from pollencleat.membership.eviction import READ_IS_RECENT_S, EvictionController
 from pollencleat.membership.fleet import (
     NO_SEAT,
     with_free_seats_taken,
@@ -31,9 +26,6 @@
 CONFLICT = 0
 """Version that the result of an update names when another node was faster."""
 
-READ_IS_RECENT_S = 1.5
-"""A change is tried only if the platform answered within this time."""
-
 RETRY_S = 0.3
 """Shortest time between two changes that this node tries, unless it joins or leaves."""
 
@@ -59,7 +51,7 @@
         self._pending = False
         self._next_try_s = -1e9
         self._conflicts = 0
-        self._asked_since_s: dict[str, float] = {}
+        self.eviction = EvictionController(board)
 
     def tick(self, now_s: float) -> None:
         """Try at most one change.
@@ -68,7 +60,7 @@
             now_s: Local time.
         """
         board = self.board
-        self._note_whom_it_asks(now_s)
+        self.eviction.tick(now_s)
         if self._pending or now_s < self._next_try_s:
             return
         if self._joins_or_leaves():
@@ -140,7 +132,7 @@
             return self._register(), f"member {board.node_id} registered"
         return (
             self._vouch(now_s)
-            or self._evict(now_s)
+            or self.eviction.choose_change(now_s)
             or self._seat()
             or self._forget(now_s)
         )
@@ -199,66 +191,6 @@
         fleet = with_voucher(board.fleet, board.node_id)
         return fleet, f"member {board.node_id} vouched for itself after {limit_s:.1f} s"
 
-    def _evict(self, now_s: float) -> tuple[Fleet, str] | None:
-        board = self.board
-        if not board.vms.version:
-            return None
-        gone = [
-            member.node_id
-            for member in board.fleet.members_by_id.values()
-            if member.node_id != board.node_id
-            and not self._is_listed(member.node_id)
-            and self._is_silent(member, now_s)
-            and self._is_judge_of(member, now_s)
-        ]
-        if not gone:
-            return None
-        fleet = board.fleet
-        for node_id in gone:
-            fleet = without_member(fleet, node_id, resigned=False)
-        return fleet, f"members {', '.join(gone)} gone, removed by {board.node_id}"
-
-    def _note_whom_it_asks(self, now_s: float) -> None:
-        """Keep since when this node has sent heartbeats to each member without a gap.
-
-        Time during which it could not read the platform does not count: it may have
-        been cut off or suspended itself.
-        """
-        board = self.board
-        if now_s - board.fresh_at_s > READ_IS_RECENT_S:
-            self._asked_since_s = {}
-            return
-        self._asked_since_s = {
-            member.node_id: self._asked_since_s.get(member.node_id, now_s)
-            for member in find_beat_targets(board, now_s)
-        }
-
-    def _is_silent(self, member: Member, now_s: float) -> bool:
-        asked_since_s = self._asked_since_s.get(member.node_id)
-        if asked_since_s is None:
-            return False
-        peer = self.board.peers_by_id.get(member.node_id, PeerView())
-        return now_s - max(peer.heard_at_s, asked_since_s) > EVICT_AFTER_S
-
-    def _is_judge_of(self, member: Member, now_s: float) -> bool:
-        """Return whether this node exchanges heartbeats with a member, if it lives.
-
-        The relay of the member's failure domain does; if nobody there answers, so do
-        the relays of the other ones, of which one is chosen.
-        """
-        board = self.board
-        relay = find_relay(board, member.failure_domain, now_s)
-        if relay is None:
-            domains = board.index().members_by_domain
-            relays = [find_relay(board, domain, now_s) for domain in domains]
-            heard = [candidate for candidate in relays if candidate is not None]
-            relay = rank_members("evict", heard)[0]
-        return relay.node_id == board.node_id
-
-    def _is_listed(self, node_id: str) -> bool:
-        live = self.board.vms.live
-        return live is not None and node_id in live
-
     def _seat(self) -> tuple[Fleet, str] | None:
         board = self.board
         fleet = with_free_seats_taken(board.fleet, board.inventory.rules.seats)
--- a/pollencleat/membership/registration_test.py
+++ b/pollencleat/membership/registration_test.py
@@ -175,7 +175,10 @@
 
 
 def run_for(board, heard, start_s, seconds, controller=None, is_fresh=True):
-    """Let time pass while the given members are heard; return whom the node removed."""
+    """Let time pass while the given members are heard; return whom the node removed.
+
+    Every change is accepted, and nobody answers doubts.
+    """
     controller = controller or RegistrationController(board)
     beats = BeatController(board)
     removed = set()
@@ -190,13 +193,15 @@
         beats.tick(now_s)
         controller.tick(now_s)
         asked |= {envelope.to_node for envelope in board.outbox}
-        for effect in board.effects:
+        effects, board.effects = board.effects, []
+        for effect in effects:
             if isinstance(effect, UpdateFleet):
                 removed |= set(board.fleet.members_by_id) - set(
                     effect.fleet.members_by_id
                 )
-                controller.on_updated(FleetUpdated(effect, 0), now_s)
-        board.effects.clear()
+                controller.on_updated(
+                    FleetUpdated(effect, board.fleet.version + 1), now_s
+                )
         board.outbox.clear()
     return removed, asked
 
@@ -213,7 +218,7 @@
         for name in order[2:]:
             board = make_two_domains(name)
             removed, _ = run_for(board, order[:2], 10.0, 30.0)
-            assert not removed
+            assert not removed and not board.fleet.doubted
 
 
 def test_relay_removes_a_silent_member_of_its_domain_after_asking_it():
@@ -231,7 +236,7 @@
     others = order_of(board, "b")
     controller = RegistrationController(board)
     removed, _ = run_for(board, [*order[:1], *others[:2]], 10.0, 30.0, controller)
-    assert not removed
+    assert not removed and not board.fleet.doubted
     removed, asked = run_for(board, others[:2], 40.0, 9.0, controller)
     assert not removed
     assert set(order) - {order[1]} <= asked
@@ -253,7 +258,7 @@
     others = order_of(board, "b")
     controller = RegistrationController(board)
     removed, _ = run_for(board, [*order[1:], *others[:2]], 10.0, 30.0, controller)
-    assert not removed
+    assert not removed and not board.fleet.doubted
     removed, _ = run_for(board, order[1:], 40.0, EVICT_AFTER_S - 0.5, controller)
     assert not removed
 
