Do not wait for a lapsed server whose address has a new owner

In the cut of 33.5 s both replicas were held from 36.5 s on, but the change of primary waited until 41 s for the crashed one, which could have acknowledged commits. Ruled out: the store (answers), the replicas (both answer), permits (lapsed at 36.3 s). Change: the address of a lapsed server is kept; a registration of another server there shows that it will not return. Before: no primary for 6.4 s in that group.

--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -31,7 +31,7 @@
         self._clock = clock
         self._servers_by_id: dict[str, BackendServer] = {}
         self._leaving: set[str] = set()
-        self._lapsed_by_group: dict[str, tuple[str, ...]] = {}
+        self._lapsed_by_group: dict[str, tuple[BackendServer, ...]] = {}
         self._missing_since_s: dict[str, float] = {}
         self._is_away = False
         self._returned_at_s = -1e9
@@ -100,10 +100,13 @@
         )
 
     def _forget_lapse(self, server: BackendServer) -> None:
-        lapsed = self._lapsed_by_group.get(server.group_id, ())
-        if server.server_id in lapsed:
-            self._lapsed_by_group[server.group_id] = tuple(
-                name for name in lapsed if name != server.server_id
+        """Forget lapsed servers that returned, or whose address has a new owner."""
+        for group_id, lapsed in self._lapsed_by_group.items():
+            self._lapsed_by_group[group_id] = tuple(
+                known
+                for known in lapsed
+                if known.server_id != server.server_id
+                and (known.host, known.port) != (server.host, server.port)
             )
 
     def remove(self, server_id: str, revision: int) -> None:
@@ -128,10 +131,7 @@
             self._leaving.discard(server_id)
         else:
             lapsed = self._lapsed_by_group.get(server.group_id, ())
-            self._lapsed_by_group[server.group_id] = (
-                *lapsed[-LAPSED_KEPT:],
-                server_id,
-            )
+            self._lapsed_by_group[server.group_id] = (*lapsed[-LAPSED_KEPT:], server)
         self._changed_revision = max(self._changed_revision, revision)
         log.info("server gone", server=server_id, revision=revision)
 
@@ -156,6 +156,9 @@
                 None,
                 tuple(sorted(self._leaving)),
                 dict(self._servers_by_id),
-                dict(self._lapsed_by_group),
+                {
+                    group_id: tuple(server.server_id for server in lapsed)
+                    for group_id, lapsed in self._lapsed_by_group.items()
+                },
             )
         )
--- /dev/null
+++ b/pollencleat/membership/directory_test.py
@@ -0,0 +1,69 @@
+import random
+from dataclasses import replace
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import BackendServer
+from pollencleat.membership.directory import RETURN_S, ServerDirectory
+
+SERVER = BackendServer("old", "g", "10.0.0.1", 8001, "a", 4, 20)
+
+
+def make_directory(servers):
+    clock = {"now": 100.0}
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    directory = ServerDirectory(board, lambda: clock["now"])
+    for revision, server in enumerate(servers, start=1):
+        directory.update(server, False, revision)
+    directory.publish(len(servers))
+    return board, directory, clock
+
+
+def lapsed_of(board, group_id="g"):
+    return board.vms.lapsed_by_group.get(group_id, ())
+
+
+def test_lapsed_server_is_remembered_until_it_returns():
+    board, directory, _ = make_directory([SERVER])
+    directory.remove("old", 2)
+    directory.publish(2)
+    assert lapsed_of(board) == ("old",)
+    directory.update(SERVER, False, 3)
+    directory.publish(3)
+    assert lapsed_of(board) == ()
+
+
+def test_lapsed_server_whose_address_has_a_new_owner_will_not_return():
+    """Regression (Volta, trouble-1): a primary that had crashed was waited for in the
+    next change of primary, 20 s after another server had started at its address; the
+    group had no primary for 6 s although both its replicas were there."""
+    board, directory, _ = make_directory([SERVER])
+    directory.remove("old", 2)
+    directory.update(replace(SERVER, server_id="new", port=8002), False, 3)
+    directory.publish(3)
+    assert lapsed_of(board) == ("old",)
+    directory.update(replace(SERVER, server_id="other", group_id="h"), False, 4)
+    directory.publish(4)
+    assert lapsed_of(board) == ()
+
+
+def test_server_that_left_as_announced_is_not_remembered():
+    board, directory, _ = make_directory([SERVER])
+    directory.update(SERVER, True, 2)
+    directory.remove("old", 3)
+    directory.publish(3)
+    assert lapsed_of(board) == ()
+
+
+def test_entry_missing_after_an_outage_counts_as_gone_once_it_could_be_back():
+    board, directory, clock = make_directory([SERVER])
+    directory.note_contact(False)
+    directory.remove("old", 2)
+    directory.publish(2)
+    assert "old" in board.vms.servers_by_id
+    directory.note_contact(True)
+    clock["now"] += RETURN_S - 0.1
+    directory.note_contact(True)
+    assert "old" in board.vms.servers_by_id
+    clock["now"] += 0.2
+    directory.note_contact(True)
+    assert "old" not in board.vms.servers_by_id
