Order a server to lead once, until the result is known

Ruled out: two promoters (one node, one attempt). Change: an attempt has at most one order open; its result is told in every case. Test: fails on the code of before.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -62,6 +62,7 @@
         seen_by_member: By incarnation, what each node that stopped writing had been
             told of the group's log.
         position_by_server: What this node knew of each server's log beforehand.
+        is_order_open: A server has been ordered to lead, with no result yet.
         is_old_asked: The old primary has been asked whether it leads still.
         is_withdrawn: The old primary leads still and stays in office.
         crashed_at_s: Until when a member that cannot tell any more may have
@@ -86,6 +87,7 @@
     seen_by_member: dict[str, SeenPosition | None] = field(default_factory=dict)
     crashed_at_s: float = -1e9
     position_by_server: dict[str, int] = field(default_factory=dict)
+    is_order_open: bool = False
     is_old_asked: bool = False
     is_withdrawn: bool = False
 
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -99,9 +99,6 @@
 """How long a chosen replica may take to apply what it has to; more would lose the
 bound of 20 s for a change of primary, less would lose writes that it has received."""
 
-STEP_LIMIT_S = 1.5
-"""How long a command to a server may stay unanswered."""
-
 TAKEN_OVER_CAUSE = "promotion taken over"
 WARM_UP_S = 1.0
 """A node judges primaries only after it has run this long."""
@@ -600,12 +597,10 @@
                 board.send(node_id, message)
 
     def _advance_promoting(self, attempt: Attempt, now_s: float) -> None:
-        if now_s - attempt.phase_since_s > STEP_LIMIT_S:
-            attempt.enter(Phase.CHOOSING, now_s)
-            return
-        if attempt.asked_at_s > 0:
+        if attempt.is_order_open:
+            # Its result is always told; a second order could name another server.
             return
-        attempt.asked_at_s = now_s
+        attempt.is_order_open = True
         self.board.effects.append(
             PromoteServer(
                 attempt.promotion.attempt_id,
@@ -625,10 +620,9 @@
         for attempt in self.attempts_by_group.values():
             if attempt.promotion.attempt_id != result.attempt_id:
                 continue
+            attempt.is_order_open = False
             if attempt.phase is not Phase.PROMOTING:
                 continue
-            if attempt.chosen != result.server_id:
-                continue
             if result.start is None:
                 attempt.enter(Phase.CHOOSING, now_s)
                 continue
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -20,6 +20,7 @@
     FenceServer,
     FleetUpdated,
     PromoteServer,
+    ServerPromoted,
     ServerStatusRead,
     UpdateFleet,
 )
@@ -255,3 +256,23 @@
     view.note_request(9.5)
     view.note_request_ended(9.6, True)
     assert make_sighting(board, "p", 10.0).age_s == pytest.approx(0.4)
+
+
+def test_attempt_orders_a_server_to_lead_once_until_the_result_is_known():
+    """Regression (grown Volta, scale-2): an order that took longer than 1.5 s went out
+    again, and both were answered."""
+    board, controller = begin_attempt_of("primary lost")
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), 10.2)
+    status = ServerStatus(7, 5, 5, 7, True, None)
+
+    def advance_until(end_s):
+        now_s = controller.attempts_by_group["g"].phase_since_s
+        while now_s < end_s:
+            now_s += 0.05
+            controller.tick(now_s)
+            controller.on_status_read(ServerStatusRead("n-1/1", "r", status), now_s)
+        return kinds_of(board).count(PromoteServer)
+
+    assert advance_until(16.0) == 1
+    controller.on_promoted(ServerPromoted("n-1/1", "r", None), 16.0)
+    assert advance_until(17.0) == 2
