Keep one unexpected error from ending a process, or from making it deaf

A position such as '1.²' of a server ended the caller's session; one object of another writer with bytes that are no text hid all others in a list. Objects of the store are read one by one; numbers are checked before they are read.

--- a/pollencleat/core/timers.py
+++ b/pollencleat/core/timers.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Callable
 
+from pollencleat.core.faults import FAILURES_IN_A_ROW, FaultLog
+
 MAX_SLEEP_S = 0.1
 """Longest time in seconds between two looks at the clock."""
 
@@ -29,9 +31,17 @@
 class TimerService:
     """Calls subscribers back at their intervals."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        """Use the given clock, in seconds."""
+    def __init__(
+        self, clock: Callable[[], float], faults: FaultLog | None = None
+    ) -> None:
+        """Use the given clock, in seconds.
+
+        Unexpected errors of a callback are recorded; without a record they are raised,
+        as they are after FAILURES_IN_A_ROW of one callback.
+        """
         self.clock = clock
+        self._faults = faults
+        self._failures_by_order: dict[int, int] = {}
         self._sequence = itertools.count()
         self._queue: list[tuple[float, int, float, Callable[[], None]]] = []
 
@@ -55,11 +65,23 @@
         while self._queue and self._queue[0][0] <= now:
             _, order, interval_s, callback = heapq.heappop(self._queue)
             heapq.heappush(self._queue, (now + interval_s, order, interval_s, callback))
-            callback()
+            self._call(order, callback)
         if not self._queue:
             return MAX_SLEEP_S
         return max(0.0, self._queue[0][0] - now)
 
+    def _call(self, order: int, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception as error:
+            failures = self._failures_by_order.get(order, 0) + 1
+            self._failures_by_order[order] = failures
+            if self._faults is None or failures >= FAILURES_IN_A_ROW:
+                raise
+            self._faults.record(f"timer {callback.__qualname__}", error)
+        else:
+            self._failures_by_order.pop(order, None)
+
     async def run_forever(self, after_run: Callable[[], None]) -> None:
         """Run callbacks until cancelled.
 
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -27,6 +27,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
+from pollencleat.core.faults import FaultLog
 from pollencleat.core.ports import PlatformStore, ServerOrders
 from pollencleat.reports.metrics import Metrics
 
@@ -54,6 +55,21 @@
     return register
 
 
+_failed_results_by_type: dict[type, Callable[[Effect], object]] = {
+    UpdateFleet: lambda effect: FleetUpdated(effect, None),
+    FenceServer: lambda effect: ServerFenced(effect.attempt_id, effect.server_id, None),
+    ReadServerStatus: lambda effect: ServerStatusRead(
+        effect.attempt_id, effect.server_id, None
+    ),
+    HoldServer: lambda effect: ServerStatusRead(
+        effect.attempt_id, effect.server_id, None
+    ),
+    PromoteServer: lambda effect: ServerPromoted(
+        effect.attempt_id, effect.server_id, None
+    ),
+}
+
+
 class EffectRunner:
     """Runs effects as tasks."""
 
@@ -65,8 +81,10 @@
         orders: ServerOrders,
         metrics: Metrics,
         clock: Callable[[], float],
+        faults: FaultLog | None = None,
     ) -> None:
         """Connect controllers to the platform and the backend servers."""
+        self._faults = faults or FaultLog()
         self._board = board
         self._deliver = deliver
         self._store = store
@@ -97,6 +115,19 @@
         except PollencleatError as error:
             self._metrics.count("effect_failed", type(effect).__name__)
             log.info("effect failed", effect=type(effect).__name__, error=str(error))
+        except Exception as error:
+            self._faults.record(f"effect {type(effect).__name__}", error)
+            self._deliver_failure(effect)
+
+    def _deliver_failure(self, effect: Effect) -> None:
+        """Tell a controller that waits for a result that nothing is known of it."""
+        make_result = _failed_results_by_type.get(type(effect))
+        if make_result is None:
+            return
+        try:
+            self._deliver(make_result(effect))
+        except Exception as error:
+            self._faults.record(f"result of {type(effect).__name__}", error)
 
     def close(self) -> None:
         """Cancel everything under way."""
--- a/pollencleat/daemon/adapters_test.py
+++ b/pollencleat/daemon/adapters_test.py
@@ -3,7 +3,12 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import Fleet, Inventory, VmList
-from pollencleat.core.effects import PlatformRead, ReadPlatform
+from pollencleat.core.effects import (
+    PlatformRead,
+    PromoteServer,
+    ReadPlatform,
+    ServerPromoted,
+)
 from pollencleat.core.errors import StoreUnavailableError
 from pollencleat.core.ports import PlatformState
 from pollencleat.daemon import adapters
@@ -63,3 +68,22 @@
     await asyncio.sleep(0.01)
     assert lines.events == ["platform lost", "platform answers"]
     assert [type(event) for event in delivered] == [PlatformRead]
+
+
+class BrokenOrders:
+    """Fails in a way that nobody expects."""
+
+    async def promote(self, server_id, term, fence):
+        raise KeyError("unknown group")
+
+
+async def test_controller_hears_of_an_order_that_failed_unexpectedly():
+    """Regression: the result never came, and the change of primary stood still."""
+    delivered = []
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    runner = EffectRunner(
+        board, delivered.append, None, BrokenOrders(), Metrics("n"), lambda: 100.0
+    )
+    runner.run(PromoteServer("n-1/1", "p", 1, 1))
+    await asyncio.sleep(0.01)
+    assert delivered == [ServerPromoted("n-1/1", "p", None)]
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -96,7 +96,9 @@
             self.board, self.orders, self.access.doubted_servers, read_boottime_s
         )
         self.access.ask_status = self.liveness.ask_now
-        self.listener = SessionListener(self.access, ClientConnection, MAX_LINE_BYTES)
+        self.listener = SessionListener(
+            self.access, ClientConnection, MAX_LINE_BYTES, self.faults
+        )
         self.endpoints = HttpEndpoints()
         self._idle_check: asyncio.Task | None = None
         self._was_ready = False
@@ -135,8 +137,8 @@
         self._subscribe()
         self.start_controllers()
         for watcher in (
-            make_inventory_watcher(self.client, self.board),
-            make_servers_watcher(self.client, self.directory),
+            make_inventory_watcher(self.client, self.board, self.faults),
+            make_servers_watcher(self.client, self.directory, self.faults),
         ):
             self.tasks.append(asyncio.create_task(watcher.run()))
         log.info(
--- a/pollencleat/daemon/runtime.py
+++ b/pollencleat/daemon/runtime.py
@@ -7,6 +7,7 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.effects import ReadPlatform
+from pollencleat.core.faults import FaultLog
 from pollencleat.core.ports import PlatformStore, ServerOrders
 from pollencleat.core.timers import TimerService, read_boottime_s
 from pollencleat.daemon.adapters import EffectRunner
@@ -26,8 +27,11 @@
         self, node_id: str, failure_domain: str, seeds_by_id: dict[str, str]
     ) -> None:
         """Create the node; connect gives it its ports."""
-        self.timers = TimerService(read_boottime_s)
         self.metrics = Metrics(node_id)
+        self.faults = FaultLog(
+            lambda part: self.metrics.count("unexpected_error", part)
+        )
+        self.timers = TimerService(read_boottime_s, self.faults)
         self.board = Blackboard(
             node_id,
             secrets.token_hex(8),
@@ -66,6 +70,7 @@
             orders,
             self.metrics,
             read_boottime_s,
+            self.faults,
         )
         self.transport = PeerTransport(
             keys,
@@ -74,6 +79,7 @@
             lambda: self.metrics.count("peer_message_malformed"),
             is_known_key,
             self._read_platform_now,
+            self.faults,
         )
 
     def _read_platform_now(self) -> None:
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from pollencleat.core.faults import FaultLog
 from pollencleat.core.sockets import tune_socket
 from pollencleat.engine.access import ServerAccess
 
@@ -51,6 +52,7 @@
             SessionConnection,
         ],
         limit_bytes: int,
+        faults: FaultLog | None = None,
     ) -> None:
         """Prepare; start listens.
 
@@ -58,7 +60,9 @@
             access: The node's servers.
             make_connection: Makes the codec of an accepted connection.
             limit_bytes: Largest message.
+            faults: Where unexpected errors are recorded.
         """
+        self._faults = faults or FaultLog()
         self._access = access
         self._make_connection = make_connection
         self._limit_bytes = limit_bytes
@@ -88,6 +92,8 @@
             await connection.serve()
         except (OSError, TimeoutError) as error:
             self._access.metrics.count("connection_broken", type(error).__name__)
+        except Exception as error:
+            self._faults.record("session", error)
         finally:
             self.connections.discard(connection)
             writer.close()
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -17,6 +17,7 @@
 import zmq.auth
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from pollencleat.core.faults import FaultLog
 from pollencleat.core.messages import PeerMessage, decode_message, encode_message
 
 SEND_QUEUE_MESSAGES = 64
@@ -119,12 +120,14 @@
         on_malformed: Callable[[], None],
         is_known_key: Callable[[bytes], bool] | None = None,
         on_unknown_key: Callable[[], None] = lambda: None,
+        faults: FaultLog | None = None,
     ) -> None:
         """Deliver each message to a callback.
 
         Without is_known_key, the own key pair is the deployment's and the only one.
         """
         self._on_unknown_key = on_unknown_key
+        self._faults = faults or FaultLog()
         self._keys = keys
         self._is_known_key = is_known_key or keys.public.__eq__
         self._on_message = on_message
@@ -179,7 +182,11 @@
             except msgspec.MsgspecError:
                 self._on_malformed()
                 continue
-            self._on_message(message)
+            try:
+                self._on_message(message)
+            except Exception as error:
+                # What one message does must not make the node deaf to all others.
+                self._faults.record(f"message {type(message).__name__}", error)
 
     def send(self, address: str, message: PeerMessage, key: str = "") -> None:
         """Send a message, or drop it if the peer does not take any.
--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import msgspec
+import structlog
 
 from pollencleat.core.errors import (
     StoreConflictError,
@@ -28,6 +29,8 @@
 CONFLICT = 409
 GONE = 410
 
+log = structlog.get_logger()
+
 Json = dict | list | str | int | float | bool | None
 
 
@@ -63,13 +66,13 @@
 
 
 class _ListPage(msgspec.Struct, frozen=True):
-    items: list[StoredObject]
+    items: list[msgspec.Raw]
     current_rev: int
     has_more: bool = False
 
 
 class _WatchAnswer(msgspec.Struct, frozen=True):
-    events: list[ObjectEvent]
+    events: list[msgspec.Raw]
     current_rev: int
 
 
@@ -142,11 +145,12 @@
             _, body = await self._call("GET", f"/{kind}", params=params)
             page = _decode(body, _ListPage)
             revision = page.current_rev if revision is None else revision
-            for item in page.items:
+            items = _decode_readable(page.items, StoredObject)
+            for item in items:
                 objects_by_name[item.meta.name] = item
-            if not page.has_more or not page.items:
+            if not page.has_more or not items:
                 return ObjectList(objects_by_name, revision)
-            after = page.items[-1].meta.name
+            after = items[-1].meta.name
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> ObjectChanges:
         """Wait for changes of a kind.
@@ -170,7 +174,8 @@
         if status == GONE:
             raise HistoryGoneError(f"{kind}: no history since {revision}")
         answer = _decode(body, _WatchAnswer)
-        return ObjectChanges(tuple(answer.events), answer.current_rev)
+        events = _decode_readable(answer.events, ObjectEvent)
+        return ObjectChanges(tuple(events), answer.current_rev)
 
     async def create_object(self, kind: str, name: str, spec: Json) -> int:
         """Create an object.
@@ -242,5 +247,16 @@
 def _decode(body: bytes, kind: type) -> object:
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise StoreError(f"malformed answer of the store: {error}") from error
+
+
+def _decode_readable(items: list[msgspec.Raw], kind: type) -> list:
+    """Return the items that can be read; other writers may have stored anything."""
+    readable = []
+    for item in items:
+        try:
+            readable.append(msgspec.json.decode(item, type=kind))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            log.info("object refused", kind=kind.__name__, reason=str(error))
+    return readable
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -26,6 +26,7 @@
     encode_line,
     failure_of_code,
     format_position,
+    is_number,
     parse_position,
     parse_ready,
     read_line,
@@ -223,7 +224,7 @@
         BackendLostError: The row is malformed.
     """
     fields = row.split()
-    if len(fields) < STATUS_FIELDS or not fields[1].isdigit():
+    if len(fields) < STATUS_FIELDS or not is_number(fields[1]):
         raise BackendLostError(f"malformed status {row[:60]!r}")
     received = parse_position(fields[2]) or Position(0, 0)
     return ServerStatus(
@@ -233,7 +234,7 @@
         last_entry_term=received.term,
         read_only=fields[0] != PRIMARY_ROLE,
         following=None,
-        held_for_term=int(fields[3]) if fields[3].isdigit() else 0,
+        held_for_term=int(fields[3]) if is_number(fields[3]) else 0,
     )
 
 
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -11,6 +11,7 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, Fleet, Inventory, VmList
 from pollencleat.core.errors import StoreError
+from pollencleat.core.faults import FaultLog
 from pollencleat.core.ports import PlatformState
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.platform.objects import (
@@ -158,8 +159,10 @@
         on_changes: Callable[[ObjectChanges], None],
         on_contact: Callable[[bool], None],
         pause_s: float = 0.0,
+        faults: FaultLog | None = None,
     ) -> None:
         """Report to callbacks; on_contact tells whether the store answers."""
+        self._faults = faults or FaultLog()
         self._client = client
         self._kind = kind
         self._on_list = on_list
@@ -181,6 +184,11 @@
             except StoreError as error:
                 self._note(False, str(error))
                 await asyncio.sleep(RETRY_S)
+            except Exception as error:
+                # Changes may have been taken in by half; a list shows them all.
+                self._faults.record(f"watch of {self._kind}", error)
+                self._revision = None
+                await asyncio.sleep(RETRY_S)
 
     async def _step(self) -> None:
         if self._revision is None:
@@ -204,12 +212,15 @@
         log.info(event, dependency=f"store watch of {self._kind}", reason=reason)
 
 
-def make_inventory_watcher(client: ObjectClient, board: Blackboard) -> StoreWatcher:
+def make_inventory_watcher(
+    client: ObjectClient, board: Blackboard, faults: FaultLog | None = None
+) -> StoreWatcher:
     """Return a watcher that keeps the inventory up to date.
 
     Args:
         client: The store.
         board: Where the inventory is adopted.
+        faults: Where unexpected errors are recorded.
 
     Returns:
         A watcher.
@@ -236,18 +247,24 @@
                 adopt(event.object.meta.name, event.object.spec)
 
     return StoreWatcher(
-        client, INVENTORY_KIND, on_list, on_changes, lambda answers: None
+        client,
+        INVENTORY_KIND,
+        on_list,
+        on_changes,
+        lambda answers: None,
+        faults=faults,
     )
 
 
 def make_servers_watcher(
-    client: ObjectClient, directory: ServerDirectory
+    client: ObjectClient, directory: ServerDirectory, faults: FaultLog | None = None
 ) -> StoreWatcher:
     """Return a watcher that keeps the directory of servers up to date.
 
     Args:
         client: The store.
         directory: What decides which servers count.
+        faults: Where unexpected errors are recorded.
 
     Returns:
         A watcher.
@@ -277,4 +294,5 @@
         on_changes,
         directory.note_contact,
         SERVERS_PAUSE_S,
+        faults,
     )
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -67,6 +67,10 @@
 ]
 
 
+NUMBER_DIGITS = 18
+"""Longest number of a server that is read, in digits."""
+
+
 class LineTooLongError(MalformedStatementError):
     """A line exceeds the protocol's limit, so that nothing after it can be read."""
 
@@ -127,12 +131,17 @@
     """
     if text == NO_POSITION:
         return None
-    term, dot, number = text.partition(".")
-    if not dot or not term.isdigit() or not number.isdigit():
+    term, _, number = text.partition(".")
+    if not is_number(term) or not is_number(number):
         raise BackendLostError(f"malformed position {text[:40]!r}")
     return Position(int(term), int(number))
 
 
+def is_number(text: str) -> bool:
+    """Return whether a text is a whole decimal number that fits into 64 bits."""
+    return text.isascii() and text.isdigit() and len(text) <= NUMBER_DIGITS
+
+
 def parse_ready(fields: str) -> ReadyLine:
     """Return the content of the line that ends an answer.
 
