Answer what arrives as a stop begins

Cause (one of the operators' stories, shown by a test): while a process drained, each session without a request in work was closed at once. A request that was in the buffers at that moment was cut off, or run with nobody to answer.

--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -63,6 +63,10 @@
         self.writer.write(f"QUERY {request_id} {text}\r\n".encode())
         return await self.read_answer()
 
+    def send_only(self, text: str) -> None:
+        """Send a statement with a new id."""
+        self.writer.write(f"QUERY {self.next_id()} {text}\r\n".encode())
+
     async def read_answer(self) -> LineAnswer:
         """Read lines until the state, or the end of the connection."""
         rows, receipt, error, detail = [], "", "", ""
--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -7,6 +7,7 @@
 from click.testing import CliRunner
 
 from bench.platform_cluster import LineClient, PlatformCluster
+from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
 from pollencleat.tools.main import main
 
 
@@ -352,6 +353,27 @@
     await wait_for(has_left, 2.0)
 
 
+async def test_request_that_arrives_as_a_drain_begins_is_answered(cluster):
+    """Regression (one of the operators' stories): a session counted as idle while its
+    request was in the buffers, and was closed without an answer."""
+    clients = [await cluster.connect("main-db", 0) for _ in range(20)]
+    for number, client in enumerate(clients):
+        assert not (await client.query(f"WRITE k{number} before")).error
+    for number, client in enumerate(clients):
+        client.send_only(f"WRITE k{number} as-it-stops")
+    assert await cluster.nodes[0].listener.drain(2.0)
+    for client in clients:
+        assert not (await client.read_answer()).error
+        assert (await client.read_answer()).error == "CLOSED"
+
+
+async def test_session_at_rest_is_closed_by_a_drain(cluster):
+    client = await cluster.connect("main-db", 0)
+    await asyncio.sleep(CLOSE_IDLE_AFTER_S + 0.1)
+    assert await cluster.nodes[0].listener.drain(2.0)
+    assert (await client.read_answer()).error == "CLOSED"
+
+
 async def test_all_processes_restart_with_no_state_of_their_own(cluster):
     assert await cluster.try_write(0, "before")
     for node in cluster.nodes:
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -34,8 +34,11 @@
     async def end_idle_transaction(self, now_s: float) -> None:
         """Let go of a server if the transaction is idle for too long."""
 
+    def finish(self) -> None:
+        """Close the connection after the next answer outside a transaction."""
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; a request that was read already is answered first."""
 
     def abort(self) -> None:
         """Break the connection."""
@@ -131,7 +134,10 @@
         return closed
 
     async def drain(self, limit_s: float) -> bool:
-        """Stop accepting, close idle sessions, and wait for the others.
+        """Stop accepting, close sessions at rest, and wait for the others.
+
+        A session that was used a moment ago may have a request on its way; it is closed
+        with its next answer, or when none has come.
 
         Args:
             limit_s: Longest wait in seconds.
@@ -144,7 +150,8 @@
         deadline_s = self._access.clock() + limit_s
         while self.connections and self._access.clock() < deadline_s:
             for connection in list(self.connections):
-                if not connection.is_busy:
+                connection.finish()
+                if connection.is_resting:
                     connection.close()
             await asyncio.sleep(DRAIN_POLL_S)
         is_clean = not any(item.is_busy for item in self.connections)
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -57,6 +57,8 @@
         self._lock = asyncio.Lock()
         self._used_at_s = access.clock()
         self.opened_at_s = self._used_at_s
+        self._is_finishing = False
+        self._is_closing = False
         self.executor: SessionExecutor | None = None
 
     async def serve(self) -> None:
@@ -125,6 +127,8 @@
                 self._write_answer(answer)
         self._used_at_s = self._access.clock()
         await self._writer.drain()
+        if self._is_finishing and not self.executor.is_in_transaction:
+            return False
         return not self._writer.is_closing()
 
     def _write_answer(self, answer: Answer) -> None:
@@ -170,9 +174,19 @@
         idle_s = self._access.clock() - self._used_at_s
         return not self.is_busy and idle_s > CLOSE_IDLE_AFTER_S
 
+    def finish(self) -> None:
+        """Close the connection after the next answer outside a transaction."""
+        self._is_finishing = True
+
     def close(self) -> None:
-        """Close the connection."""
-        self._writer.close()
+        """Close the connection; a request that was read already is answered first."""
+        transport = self._writer.transport
+        if self._is_closing or transport.is_closing():
+            return
+        self._is_closing = True
+        # Nothing may be fed after the end.
+        transport.pause_reading()
+        self._reader.feed_eof()
 
     def abort(self) -> None:
         """Break the connection."""
