Hold a group's connections at gateways where a share would be too small

Cause (grown Volta: 51 connections, 37 seats): one connection a node and server; a transaction that pauses keeps it, and the node's other callers wait. Change: where a seat's share is below 3, two gateways a group and failure domain hold the connections, chosen by rendezvous hash; other nodes borrow one for a statement or a transaction over the peer transport. Shares are such that two generations of gateways stay within the declaration. Permits stay with the node that answers the caller.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -61,6 +61,7 @@
     Attributes:
         opened_for_term: Term that the connection belongs to.
         is_read: The statement may be asked again elsewhere.
+        is_borrowed: Another node's connection; that node watches the server by it.
     """
 
     connection: PooledConnection
@@ -68,6 +69,12 @@
     opened_for_term: int
     pool: "ServerPool"
     is_read: bool = False
+    is_borrowed: bool = False
+
+    @property
+    def server_id(self) -> str:
+        """The server that it is connected to."""
+        return self.pool.server.server_id
 
     def give_back(self, reusable: bool) -> None:
         """Return the connection, or close it.
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -1,6 +1,7 @@
 """The pools of all servers, kept in line with the blackboard."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 
 from pollencleat.backend.pool import ServerPool
@@ -41,11 +42,19 @@
 
 
 class OutstandingByServer(LoadByServer):
-    """Statements in use and waiting at each pool, computed when looked up."""
+    """This node's statements in use and waiting, computed when looked up."""
+
+    def __init__(
+        self, pools_by_server: dict[str, ServerPool], borrowed_by_server: Counter[str]
+    ) -> None:
+        """Look up in the given pools, and in what is borrowed from other nodes."""
+        super().__init__(pools_by_server)
+        self._borrowed_by_server = borrowed_by_server
 
     def __getitem__(self, server_id: str) -> float:
         """Return the number of statements of a server."""
-        return self._pools_by_server[server_id].queue.outstanding()
+        own = self._pools_by_server[server_id].queue.outstanding()
+        return own + self._borrowed_by_server[server_id]
 
 
 class ServerPools:
@@ -62,7 +71,10 @@
         self.clock = clock
         self.pools_by_server: dict[str, ServerPool] = {}
         self.loads = LoadByServer(self.pools_by_server)
-        self.outstanding = OutstandingByServer(self.pools_by_server)
+        self.borrowed_by_server: Counter[str] = Counter()
+        self.outstanding = OutstandingByServer(
+            self.pools_by_server, self.borrowed_by_server
+        )
         self._make_pool = make_pool
         self._inventory_seen: Inventory | None = None
         self._inventory_changed_at_s = -1e9
--- a/pollencleat/core/index.py
+++ b/pollencleat/core/index.py
@@ -1,6 +1,6 @@
 """Order and digests of members, derived once for each fleet state."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 
@@ -14,12 +14,26 @@
         key: What a member is chosen for.
         members: Candidates.
 
+    Returns:
+        The candidates, the first choice first.
+    """
+    by_id = {member.node_id: member for member in members}
+    return [by_id[node_id] for node_id in rank_names(key, list(by_id))]
+
+
+def rank_names(key: str, names: list[str]) -> list[str]:
+    """Order names by rendezvous hash.
+
+    Args:
+        key: What a name is chosen for.
+        names: Candidates.
+
     Returns:
         The candidates, the first choice first.
     """
     return sorted(
-        members,
-        key=lambda member: xxhash.xxh64_intdigest(f"{key}\0{member.node_id}".encode()),
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(f"{key}\0{name}".encode()),
         reverse=True,
     )
 
@@ -32,10 +46,33 @@
         members_by_domain: Members of each failure domain, first choice of relay first.
         keys_by_domain: A digest for each that is equal only for equal sets of
             incarnations.
+        ranked_by_key: Members of each failure domain in the order of a key, as far as
+            somebody has asked for it.
     """
 
     members_by_domain: dict[str, tuple[Member, ...]]
     keys_by_domain: dict[str, int]
+    ranked_by_key: dict[str, dict[str, tuple[Member, ...]]] = field(
+        default_factory=dict
+    )
+
+    def ranked(self, key: str) -> dict[str, tuple[Member, ...]]:
+        """Return the members of each failure domain by rendezvous hash.
+
+        Args:
+            key: What members are chosen for.
+
+        Returns:
+            Members by failure domain, the first choice first.
+        """
+        ranked = self.ranked_by_key.get(key)
+        if ranked is None:
+            ranked = {
+                domain: tuple(rank_members(key, list(members)))
+                for domain, members in self.members_by_domain.items()
+            }
+            self.ranked_by_key[key] = ranked
+        return ranked
 
 
 def make_fleet_index(fleet: Fleet) -> FleetIndex:
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -139,6 +139,125 @@
     refused: bool
 
 
+class LeaseRequest(msgspec.Struct, frozen=True, array_like=True, tag="lease_request"):
+    """Asks a gateway to lend a connection for one statement or transaction.
+
+    Attributes:
+        lease_id: Chosen by the sender, at random.
+        account: Client account whose turn it is.
+        wait_s: How long the statement may wait for a connection.
+        term: Term that the connection must belong to, or 0.
+        needs_lead: The server must have said that it leads the term.
+        values: Values of the session; a connection that has them is preferred.
+    """
+
+    node_id: str
+    lease_id: int
+    server_id: str
+    account: str
+    wait_s: float
+    term: int
+    needs_lead: bool
+    values: dict[str, str]
+
+
+class LinkState(msgspec.Struct, frozen=True, array_like=True):
+    """What a connection holds for whoever uses it next.
+
+    Attributes:
+        names: Access, text and name of each prepared statement.
+    """
+
+    values: dict[str, str]
+    names: tuple[tuple[str, str, str], ...] = ()
+
+
+class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag="lease_granted"):
+    """A connection is lent.
+
+    Attributes:
+        log_term: Agreed term that the newest position belongs to, or 0.
+        newest: What the gateway was told of the primary's log in that term.
+    """
+
+    node_id: str
+    lease_id: int
+    state: LinkState
+    log_term: int = 0
+    newest: SeenPosition | None = None
+
+
+class LeaseRefused(msgspec.Struct, frozen=True, array_like=True, tag="lease_refused"):
+    """No connection is lent, and nothing has run.
+
+    Attributes:
+        is_overload: The wait would be too long; otherwise no connection can be had.
+    """
+
+    node_id: str
+    lease_id: int
+    is_overload: bool
+    detail: str
+    retry_after_ms: int
+
+
+class LeaseEnded(msgspec.Struct, frozen=True, array_like=True, tag="lease_ended"):
+    """The borrower gives a connection back, or does not want it any more.
+
+    Attributes:
+        state: What the connection holds; None if it must be closed.
+    """
+
+    node_id: str
+    lease_id: int
+    state: LinkState | None
+
+
+class LinkCall(msgspec.Struct, frozen=True, array_like=True, tag="link_call"):
+    """A request on a lent connection.
+
+    Attributes:
+        number: Counts the calls of the lease.
+        call: Name of the call.
+        arguments: Its arguments, encoded.
+    """
+
+    node_id: str
+    lease_id: int
+    number: int
+    call: str
+    arguments: bytes
+
+
+class LinkReply(msgspec.Struct, frozen=True, array_like=True, tag="link_reply"):
+    """The server's answer to a call on a lent connection.
+
+    Attributes:
+        reply: The answer, encoded; empty if no complete one arrived.
+        error: Why there is none.
+    """
+
+    node_id: str
+    lease_id: int
+    number: int
+    reply: bytes
+    error: str = ""
+
+
+class LeasesHeld(msgspec.Struct, frozen=True, array_like=True, tag="leases_held"):
+    """The borrower is alive and holds these leases."""
+
+    node_id: str
+    lease_ids: tuple[int, ...]
+
+
+class LeasesKnown(msgspec.Struct, frozen=True, array_like=True, tag="leases_known"):
+    """The gateway is alive; of the leases told it does not know these."""
+
+    node_id: str
+    unknown_ids: tuple[int, ...]
+
+
 PeerMessage = (
     Beat
     | StateRequest
@@ -148,6 +267,14 @@
     | WritesEnded
     | SightingRequest
     | Sighting
+    | LeaseRequest
+    | LeaseGranted
+    | LeaseRefused
+    | LeaseEnded
+    | LinkCall
+    | LinkReply
+    | LeasesHeld
+    | LeasesKnown
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -12,11 +12,23 @@
 from pollencleat.backend.pool import ServerPool
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import SettingsError
+from pollencleat.core.messages import (
+    LeaseEnded,
+    LeaseGranted,
+    LeaseRefused,
+    LeaseRequest,
+    LeasesHeld,
+    LeasesKnown,
+    LinkCall,
+    LinkReply,
+)
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.daemon.readiness import is_ready
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.listener import SessionListener
+from pollencleat.hops.borrower import HopBorrower
+from pollencleat.hops.lender import HopLender
 from pollencleat.limits.shares import reserved_connections
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.peers.transport import make_curve_keys
@@ -48,6 +60,12 @@
 IDLE_CHECK_S = 0.25
 """Seconds between two looks for idle transactions."""
 
+LEASES_TICK_S = 0.3
+"""Seconds between two looks at borrowed and lent connections."""
+
+DRAIN_POLL_S = 0.02
+"""Seconds between two looks at whether lent connections are back."""
+
 CLOSE_UNUSED_S = 10.0
 """Seconds between two looks for unused connections to peers."""
 
@@ -96,6 +114,25 @@
             self.board, self.orders, self.access.doubted_servers, read_boottime_s
         )
         self.access.ask_status = self.liveness.ask_now
+        self.borrower = HopBorrower(
+            self.board,
+            self.send_to,
+            read_boottime_s,
+            self.metrics,
+            self.access.pools.borrowed_by_server,
+        )
+        self.lender = HopLender(self.access, self.send_to, self.metrics, self.faults)
+        self.access.hops = self.borrower
+        self.handlers_by_type = {
+            LeaseRequest: self.lender.on_request,
+            LeaseEnded: self.lender.on_ended,
+            LinkCall: self.lender.on_call,
+            LeasesHeld: self.lender.on_held,
+            LeaseGranted: self.borrower.on_granted,
+            LeaseRefused: self.borrower.on_refused,
+            LinkReply: self.borrower.on_reply,
+            LeasesKnown: self.borrower.on_known,
+        }
         self.listener = SessionListener(
             self.access, ClientConnection, MAX_LINE_BYTES, self.faults
         )
@@ -154,8 +191,13 @@
         self.timers.subscribe(FOLLOW_S, self._follow_board)
         self.timers.subscribe(LIVENESS_TICK_S, self.liveness.tick)
         self.timers.subscribe(IDLE_CHECK_S, self._check_idle)
+        self.timers.subscribe(LEASES_TICK_S, self._follow_leases)
         self.timers.subscribe(CLOSE_UNUSED_S, self.transport.close_unused)
 
+    def _follow_leases(self) -> None:
+        self.borrower.tick()
+        self.lender.tick()
+
     def _follow_board(self) -> None:
         self.board.wall_clock_s = int(time.time())
         self.access.follow_board(self._is_ready())
@@ -204,8 +246,12 @@
         ends_s = started_s + self.settings.grace_s - STOP_RESERVE_S
         await asyncio.sleep(UNREADY_S)
         is_clean = await self.listener.drain(ends_s - read_boottime_s())
+        while self.lender.is_busy and read_boottime_s() < ends_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        is_clean = is_clean and not self.lender.is_busy
         if not is_clean:
             log.warning("drain limit reached", limit_s=self.settings.grace_s)
+        self._close_leases()
         self.liveness.close()
         self.access.close()
         await self.resign(RESIGN_LIMIT_S)
@@ -219,6 +265,7 @@
     async def abandon(self) -> None:
         """Let go of everything at once, as the end of the process would."""
         await self.listener.abandon()
+        self._close_leases()
         self.liveness.close()
         self.access.close()
         await self.close_runtime()
@@ -226,6 +273,10 @@
         await self.client.close()
         self.metrics.close()
 
+    def _close_leases(self) -> None:
+        self.borrower.close()
+        self.lender.close()
+
     async def _stop_transport(self) -> None:
         self.transport.close()
 
--- a/pollencleat/daemon/runtime.py
+++ b/pollencleat/daemon/runtime.py
@@ -8,6 +8,7 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.effects import ReadPlatform
 from pollencleat.core.faults import FaultLog
+from pollencleat.core.messages import PeerMessage
 from pollencleat.core.ports import PlatformStore, ServerOrders
 from pollencleat.core.timers import TimerService, read_boottime_s
 from pollencleat.daemon.adapters import EffectRunner
@@ -47,6 +48,7 @@
         self.transport: PeerTransport | None = None
         self.tasks: list[asyncio.Task] = []
         self.on_stop: list[Callable[[], Awaitable[None]]] = []
+        self.handlers_by_type: dict[type, Callable[[object], None]] = {}
 
     def connect(
         self,
@@ -102,14 +104,31 @@
         )
 
     def deliver(self, event: object) -> None:
-        """Hand a peer message or the result of an effect to the controllers.
+        """Hand a peer message or the result of an effect to whom it concerns.
 
         Args:
-            event: The message or result.
+            event: The message or result; the controllers get what no handler takes.
         """
+        handler = self.handlers_by_type.get(type(event))
+        if handler is not None:
+            handler(event)
+            return
         self.node.handle(event)
         self.dispatch()
 
+    def send_to(self, node_id: str, message: PeerMessage) -> bool:
+        """Send a message to a member at once.
+
+        Args:
+            node_id: The member.
+            message: What to send.
+
+        Returns:
+            False if it was dropped, or if there is no such member.
+        """
+        address, key = self._address_of(node_id)
+        return bool(address) and self.transport.send(address, message, key)
+
     def dispatch(self) -> None:
         """Carry out what the controllers want."""
         board = self.board
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
 
 from pollencleat.backend.pool import ANY_TERM, Lease, PooledConnection, ServerPool
 from pollencleat.backend.pools import ServerPools
@@ -10,11 +12,13 @@
 from pollencleat.core.data import BackendServer, GroupTerm, Position, Route
 from pollencleat.core.errors import (
     BackendDeclinedError,
+    BackendError,
     UnknownDatabaseError,
     WritesUnavailableError,
 )
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply
+from pollencleat.limits.gateways import is_pooled_at_gateways
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.freshness import is_primary_confirmed
@@ -39,6 +43,32 @@
 """Seconds between two looks at whether it has, and between two questions."""
 
 
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What kind of connection is wanted of another node.
+
+    Attributes:
+        wait_s: How long the statement may wait for it.
+        term: Term that it must belong to, or ANY_TERM.
+        needs_lead: The server must have said that it leads the term.
+        values: Values of the session; a connection that has them is preferred.
+    """
+
+    server: BackendServer
+    account: str
+    wait_s: float
+    term: int
+    needs_lead: bool
+    values: dict[str, str]
+
+
+class Borrower(Protocol):
+    """Borrows connections from other nodes."""
+
+    async def borrow(self, wish: Wish) -> Lease:
+        """Borrow a connection; raises a NotRunError if none can be had."""
+
+
 class ServerAccess:
     """The node's servers as sessions see them."""
 
@@ -57,6 +87,7 @@
         self.doubted_servers: set[str] = set()
         self.ask_status: Callable[[str], None] = self.note_doubt
         self.has_joined = False
+        self.hops: Borrower | None = None
 
     def follow_board(self, is_ready: bool) -> None:
         """Adapt pools to the blackboard; work begins when they have their share.
@@ -132,7 +163,7 @@
         return current is not None and current.term == term.term
 
     async def borrow(
-        self, target: Target, route: Route, session: SessionState
+        self, target: Target, route: Route, session: SessionState, is_read: bool
     ) -> Lease:
         """Lend a connection to a chosen server.
 
@@ -140,6 +171,7 @@
             target: The server.
             route: Tells how long the statement may wait.
             session: Whose turn it is; a connection with its values is preferred.
+            is_read: Nothing will be written on it.
 
         Returns:
             A lease.
@@ -151,6 +183,16 @@
         pool = self.pools.pools_by_server[target.server_id]
         wait_s = route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE
         term = target.term.term if target.term is not None else ANY_TERM
+        if self.hops is not None and self._is_at_gateways(pool):
+            wish = Wish(
+                pool.server,
+                session.account,
+                wait_s,
+                term,
+                is_read and target.term is not None,
+                session.values,
+            )
+            return await self.hops.borrow(wish)
         return await pool.borrow(
             session.account,
             WAITING_STATEMENTS_LIMIT,
@@ -159,6 +201,11 @@
             lambda link: link.values == session.values,
         )
 
+    def _is_at_gateways(self, pool: ServerPool) -> bool:
+        """Return whether the connections belong to others, not to this node."""
+        is_pooled = is_pooled_at_gateways(self.board, pool.server)
+        return is_pooled and not pool.queue.capacity
+
     # What answers tell.
 
     def note_sent(self, server_id: str) -> None:
@@ -186,6 +233,33 @@
         """
         self.board.server(server_id).doubted_at_s = self.clock()
 
+    async def track(
+        self, server_id: str, request: Awaitable[ServerReply]
+    ) -> ServerReply:
+        """Wait for an answer; the server owes one meanwhile.
+
+        Args:
+            server_id: Who is asked.
+            request: The request.
+
+        Returns:
+            The answer.
+
+        Raises:
+            BackendError: No complete answer arrived.
+        """
+        self.note_sent(server_id)
+        is_answered = False
+        try:
+            reply = await request
+            is_answered = True
+            return reply
+        except BackendError:
+            self.note_lost(server_id)
+            raise
+        finally:
+            self.note_ended(server_id, is_answered)
+
     def note_position(
         self, server_id: str, reply: ServerReply, sent_at_s: float, group_id: str
     ) -> None:
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -568,11 +568,15 @@
     async def _borrow(self, target: Target, route: Route, is_read: bool) -> Lease:
         """Borrow a connection; for a read that rests on a permit, to a sure primary."""
         try:
-            lease = await self.access.borrow(target, route, self.session)
+            lease = await self.access.borrow(target, route, self.session, is_read)
         except (BackendUnreachableError, OverloadedError) as error:
             raise _NotRunHereError(error) from error
         if not is_read or target.term is None:
             return lease
+        if lease.is_borrowed:
+            # The gateway has made sure before it lent the connection.
+            self.access.note_lead(target.term, lease.requested_at_s)
+            return lease
         is_confirmed = False
         try:
             is_confirmed = await self.access.wait_until_confirmed(target.term)
@@ -619,7 +623,7 @@
         route: Route,
     ) -> ServerReply:
         """Wait for an answer and take in what it tells of the server's log."""
-        server_id = lease.pool.server.server_id
+        server_id = lease.server_id
         sent_at_s = self.access.clock()
         async with asyncio.timeout(max(0.0, limit_s)):
             reply = await self._track(lease, request)
@@ -629,19 +633,10 @@
     async def _track(
         self, lease: Lease, request: Awaitable[ServerReply]
     ) -> ServerReply:
-        """Wait for an answer, so that the server owes one meanwhile."""
-        server_id = lease.pool.server.server_id
-        self.access.note_sent(server_id)
-        is_answered = False
-        try:
-            reply = await request
-            is_answered = True
-            return reply
-        except BackendError:
-            self.access.note_lost(server_id)
-            raise
-        finally:
-            self.access.note_ended(server_id, is_answered)
+        """Wait for an answer; a gateway watches its servers itself."""
+        if lease.is_borrowed:
+            return await request
+        return await self.access.track(lease.server_id, request)
 
     def _refusal(self, target: Target, reply: ServerReply) -> CallerError:
         """Return the error of a statement that a server has not run."""
--- /dev/null
+++ b/pollencleat/hops/__init__.py
@@ -0,0 +1,1 @@
+"""Server connections that entry VMs lend to each other."""
--- a/pollencleat/limits/shares.py
+++ b/pollencleat/limits/shares.py
@@ -1,23 +1,18 @@
 """How many connections this node may open to each server.
 
-A node owns the share of its seat.  A seat passes on only after its owner resigned with
+Where a seat's share is large enough, a node owns it; otherwise a group's connections
+belong to its gateways.  A seat passes on only after its owner resigned with
 all connections closed, or when the platform lists the owner's VM as gone, so that the
 sum of all nodes stays within the declaration.
 """
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.inventory.forecast import connection_share
+from pollencleat.limits.gateways import gateway_share, is_pooled_at_gateways
 
 ORDER_CONNECTIONS = 1
 """Connections of a share that are kept for orders and questions to a server."""
 
-SMALL_SHARE = 2
-"""Largest share from which nothing is kept back."""
-
-UNSHARED_NEEDED = 4
-"""Connections beyond all shares that are enough for orders: a promoter, its successor
-and two nodes that ask a silent server."""
-
 IN_FORCE_S = 4.0
 """Time after which an accepted inventory is in force on every reachable node."""
 
@@ -39,6 +34,8 @@
     server = board.inventory.servers_by_id.get(server_id)
     if server is None:
         return 0
+    if is_pooled_at_gateways(board, server):
+        return gateway_share(board, server)
     seats = board.inventory.rules.seats or board.fleet.seats
     if not 0 <= member.seat < seats:
         return 0
@@ -53,15 +50,10 @@
         server_id: The server.
 
     Returns:
-        One; none where the share is so small that statements would wait for a single
-        connection, and enough connections belong to no share.
+        One; none where gateways hold the connections, half of which belong to nobody.
     """
     server = board.inventory.servers_by_id.get(server_id)
-    if server is None or board.inventory.rules.seats:
-        return ORDER_CONNECTIONS
-    share = connections_allowed(board, server_id)
-    unshared = server.connections - share * board.fleet.seats
-    if share <= SMALL_SHARE and unshared >= UNSHARED_NEEDED:
+    if server is not None and is_pooled_at_gateways(board, server):
         return 0
     return ORDER_CONNECTIONS
 
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -20,7 +20,7 @@
 from pollencleat.core.faults import FaultLog
 from pollencleat.core.messages import PeerMessage, decode_message, encode_message
 
-SEND_QUEUE_MESSAGES = 64
+SEND_QUEUE_MESSAGES = 256
 """Messages that wait for a peer; more are dropped."""
 
 IDLE_CLOSE_S = 30.0
@@ -188,13 +188,16 @@
                 # What one message does must not make the node deaf to all others.
                 self._faults.record(f"message {type(message).__name__}", error)
 
-    def send(self, address: str, message: PeerMessage, key: str = "") -> None:
+    def send(self, address: str, message: PeerMessage, key: str = "") -> bool:
         """Send a message, or drop it if the peer does not take any.
 
         Args:
             address: The peer's endpoint.
             message: What to send.
             key: The peer's own Z85 key; empty for the deployment's.
+
+        Returns:
+            False if it was dropped.
         """
         server_key = key.encode() or self._keys.public
         outgoing = self._outgoing_by_address.get(address)
@@ -208,9 +211,10 @@
         try:
             outgoing.socket.send(payload, zmq.NOBLOCK)
         except zmq.Again:
-            return
+            return False
         self.bytes_sent += len(payload)
         self.messages_sent += 1
+        return True
 
     def _connect(self, address: str, server_key: bytes) -> _Outgoing:
         socket = zmq.Context(self._context).socket(zmq.PUSH)
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -91,6 +91,7 @@
         self.faults = ServerFaults()
         self.born = next(self._numbers)
         self.connections = 0
+        self.most_connections = 0
         self.sequence = 0
         self.status_calls = 0
         self._server: asyncio.Server | None = None
@@ -183,6 +184,7 @@
             if self.connections > self.group.connection_limit:
                 writer.write(b"ERROR TOOMANY\r\n")
                 return
+            self.most_connections = max(self.most_connections, self.connections)
             writer.write(f"READY I {self.position()}\r\n".encode())
             while True:
                 line = (await reader.readuntil(b"\n")).decode().rstrip("\r\n")
