Take no server for silent that was never asked; keep order connections a while

Each of the 36 nodes then opened a connection for every question (12 ms of a slot, 3 slots a server), so that no question was answered in time, for seconds. Change: where all requests are tracked, a server without a request owes nothing; connections for orders stay open for 3 s of disuse.

--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -176,6 +176,8 @@
         primary_seen_at_s: When this node learned of a group's current primary.
         wall_clock_s: Unix time for audit entries; never used for a decision.
         promoting: Promises are withheld while a promotion may be under way.
+        tracks_requests: Every request to a server is noted, so that a server of which
+            nothing is known has not been asked; otherwise all servers are sampled.
     """
 
     node_id: str
@@ -194,6 +196,7 @@
     registered_at_s: float | None = None
     promised_until_s: float = -1e9
     promoting: bool = False
+    tracks_requests: bool = False
     resigning: bool = False
     draining: bool = False
     peers_by_id: dict[str, PeerView] = field(default_factory=dict)
@@ -272,7 +275,11 @@
         Returns:
             The mutable view.
         """
-        return self.servers_by_id.setdefault(server_id, ServerView())
+        view = self.servers_by_id.get(server_id)
+        if view is None:
+            view = ServerView(is_tracked=self.tracks_requests)
+            self.servers_by_id[server_id] = view
+        return view
 
     def seen_positions(self, now_s: float) -> dict[str, SeenPosition]:
         """Return what primaries told this node of their logs.
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -66,6 +66,9 @@
 DRAIN_POLL_S = 0.02
 """Seconds between two looks at whether lent connections are back."""
 
+CLOSE_ORDERS_S = 1.0
+"""Seconds between two looks for connections for orders that are not used."""
+
 CLOSE_UNUSED_S = 10.0
 """Seconds between two looks for unused connections to peers."""
 
@@ -93,6 +96,7 @@
         """Create all parts; start connects them to the network."""
         super().__init__(settings.node_id, settings.failure_domain, {})
         self.settings = settings
+        self.board.tracks_requests = True
         self._output = output
         self.client = ObjectClient(settings.store)
         self.orders = PlatformOrders(
@@ -193,6 +197,9 @@
         self.timers.subscribe(IDLE_CHECK_S, self._check_idle)
         self.timers.subscribe(LEASES_TICK_S, self._follow_leases)
         self.timers.subscribe(CLOSE_UNUSED_S, self.transport.close_unused)
+        self.timers.subscribe(
+            CLOSE_ORDERS_S, lambda: self.orders.close_unused(read_boottime_s())
+        )
 
     def _follow_leases(self) -> None:
         self.borrower.tick()
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -8,6 +8,7 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, ServerStatus, TermStart
 from pollencleat.core.errors import BackendError
+from pollencleat.core.timers import read_boottime_s
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import Endpoint
 
@@ -20,6 +21,10 @@
 PROMOTION_LIMIT_S = 4.0
 """How long a named server may take to lead; the platform says some hundred ms."""
 
+KEEP_S = 3.0
+"""How long a connection for orders stays open unused where a node has none of its own;
+a change of primary asks the same servers several times."""
+
 POLL_S = 0.03
 """Seconds between two looks at a server that is about to lead."""
 
@@ -39,7 +44,7 @@
         """Use the platform's promotion service at an address.
 
         may_name_primary is asked, with group and fence, right before each call;
-        may_keep, whether a server's connection stays open after an order.
+        may_keep, whether a server's connection stays open when it is not used.
         """
         self._may_keep = may_keep
         self._board = board
@@ -47,6 +52,7 @@
         self._promotion_url = f"http://{promotion}/promotion"
         self._connections_by_server: dict[str, ServerConnection] = {}
         self._opened_for: dict[str, BackendServer] = {}
+        self._used_at_s: dict[str, float] = {}
         self._locks_by_server: dict[str, asyncio.Lock] = {}
         self._session: aiohttp.ClientSession | None = None
 
@@ -132,10 +138,8 @@
         async def send() -> ServerStatus:
             async with lock:
                 connection = await self._connect(server_id)
-                status = await connection.order(text)
-                if not self._may_keep(server_id):
-                    connection.close()
-                return status
+                self._used_at_s[server_id] = read_boottime_s()
+                return await connection.order(text)
 
         return await _within_limit(send, f"{server_id}: {text}")
 
@@ -151,6 +155,19 @@
         self._opened_for[server_id] = server
         return connection
 
+    def close_unused(self, now_s: float) -> None:
+        """Close connections that have not been used for a while and are not this node's.
+
+        Args:
+            now_s: Local time.
+        """
+        for server_id, connection in list(self._connections_by_server.items()):
+            used_at_s = self._used_at_s.get(server_id, now_s)
+            if self._may_keep(server_id) or now_s - used_at_s < KEEP_S:
+                continue
+            connection.close()
+            del self._connections_by_server[server_id]
+
     def open_count(self, server_id: str) -> int:
         """Return the connections held to a server: 0 or 1."""
         connection = self._connections_by_server.get(server_id)
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -276,3 +276,13 @@
     assert advance_until(16.0) == 1
     controller.on_promoted(ServerPromoted("n-1/1", "r", None), 16.0)
     assert advance_until(17.0) == 2
+
+
+def test_server_that_was_never_asked_is_not_silent():
+    """Regression (grown Volta, quiet-1): nodes that are no gateways ask no server, and
+    took each primary for lost."""
+    board = make_board()
+    board.tracks_requests = True
+    controller = PromotionController(board, 0.0)
+    assert not run(controller, board, steps(5.0, 9.0), True)
+    assert not controller.suspects_by_group
