--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -156,7 +156,7 @@
         return connection
 
     def close_unused(self, now_s: float) -> None:
-        """Close connections that have not been used for a while and are not this node's.
+        """Close connections beyond this node's share that have not been used lately.
 
         Args:
             now_s: Local time.
