Tell nodes that are no gateways which servers are quiet

Cause (found by reading what gateways take away; shown by a test): a node without connections of its own never noticed that a server was dark, and sent every fourth read there, each to its time limit. Change: requests over a hop are tracked as well; the gateways are asked when a server answers again, instead of each node opening a connection for a question. Test: bench/hops_test.py, silent replicas; four reads in 4 s time out on the code of before.

--- a/bench/hops_test.py
+++ b/bench/hops_test.py
@@ -282,3 +282,29 @@
     lender.on_ended(LeaseEnded("stranger", 7, None))
     assert (await client.query("COMMIT")).receipt
     assert written(cluster, "k") == ["kept"]
+
+
+async def test_silent_replica_is_left_alone_and_used_again_when_it_answers(cluster):
+    """Nodes that are no gateways have no connection that shows a server's silence."""
+    _, others = split_nodes(cluster)
+    writer = await cluster.connect("main-db", others[0])
+    assert not (await writer.query("WRITE k one")).error
+    node = cluster.nodes[others[0]]
+    for server in cluster.group.servers:
+        server.faults.silent = not server.is_primary
+    reader = await cluster.connect("old-db", others[0])
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    slow = []
+    while loop.time() < begun_s + 4.0:
+        started_s = loop.time()
+        answer = await reader.query("READ k")
+        if answer.error or loop.time() - started_s > 0.2:
+            slow.append((started_s - begun_s, answer.error))
+        await asyncio.sleep(0.02)
+    assert len(slow) <= 3, slow
+    for server in cluster.group.servers:
+        server.faults.silent = False
+    quiet = [view for view in node.board.servers_by_id.values() if view.owing_since_s]
+    assert quiet
+    await wait_for(lambda: all(view.owing_since_s is None for view in quiet), 6.0)
--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -19,6 +19,8 @@
 )
 from pollencleat.core.index import rank_members
 from pollencleat.core.ports import ServerOrders
+from pollencleat.limits.gateways import is_pooled_at_gateways
+from pollencleat.limits.shares import connections_allowed
 from pollencleat.routing.freshness import (
     is_primary_status,
     is_replica_status,
@@ -76,7 +78,7 @@
         if asked_ago_s < QUIET_S:
             return False
         if view.owes_for_s(now_s) > QUIET_S or view.refused_at_s is not None:
-            return True
+            return self._has_connections(server_id) or self._is_steward(group_id)
         term = board.group_term(group_id)
         if term is None or not term.primary:
             return False
@@ -90,6 +92,16 @@
             return False
         return self._is_steward(group_id)
 
+    def _has_connections(self, server_id: str) -> bool:
+        """Return whether this node's own connections show that a server is quiet.
+
+        The others would each open one to ask; gateways tell them instead.
+        """
+        server = self._board.inventory.servers_by_id[server_id]
+        if not is_pooled_at_gateways(self._board, server):
+            return True
+        return connections_allowed(self._board, server_id) > 0
+
     def _is_steward(self, group_id: str) -> bool:
         members = list(self._board.fleet.members_by_id.values())
         ranked = rank_members(f"steward\0{group_id}", members)
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -633,9 +633,7 @@
     async def _track(
         self, lease: Lease, request: Awaitable[ServerReply]
     ) -> ServerReply:
-        """Wait for an answer; a gateway watches its servers itself."""
-        if lease.is_borrowed:
-            return await request
+        """Wait for an answer, so that the server owes one meanwhile."""
         return await self.access.track(lease.server_id, request)
 
     def _refusal(self, target: Target, reply: ServerReply) -> CallerError:
