--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -61,7 +61,8 @@
     Attributes:
         opened_for_term: Term that the connection belongs to.
         is_read: The statement may be asked again elsewhere.
-        is_borrowed: Another node's connection; that node watches the server by it.
+        is_borrowed: Another node's connection.
+        gateway_id: That node, or empty.
     """
 
     connection: PooledConnection
@@ -70,6 +71,7 @@
     pool: "ServerPool"
     is_read: bool = False
     is_borrowed: bool = False
+    gateway_id: str = ""
 
     @property
     def server_id(self) -> str:
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -88,6 +88,7 @@
     """What decided a statement's outcome, for its log line."""
 
     server_id: str = ""
+    gateway_id: str = ""
     at_least: str = ""
     term: int = 0
     tries: int = 0
@@ -143,6 +144,7 @@
             database=self.session.database,
             action=action,
             server=trace.server_id,
+            gateway=trace.gateway_id,
             at_least=trace.at_least,
             term=trace.term,
             permit_age_ms=round(
@@ -571,6 +573,7 @@
             lease = await self.access.borrow(target, route, self.session, is_read)
         except (BackendUnreachableError, OverloadedError) as error:
             raise _NotRunHereError(error) from error
+        self._trace.gateway_id = lease.gateway_id
         if not is_read or target.term is None:
             return lease
         if lease.is_borrowed:
--- a/pollencleat/hops/borrower.py
+++ b/pollencleat/hops/borrower.py
@@ -199,6 +199,11 @@
     is_read: bool = False
     is_borrowed: bool = True
 
+    @property
+    def gateway_id(self) -> str:
+        """The node that lends the connection."""
+        return self.connection.gateway_id
+
     def give_back(self, reusable: bool) -> None:
         """Return the connection, or have it closed.
 
