Run a single read at the gateway in one exchange; wake up half as often

Change: a gateway runs a read that belongs to no transaction itself and answers with the result (two messages; nothing is lost by asking another gateway, for a read may run twice); writes and transactions keep their lease, whose loss before a call is known not to have run. Timers look every 0.1 s.

--- a/bench/hops_test.py
+++ b/bench/hops_test.py
@@ -52,8 +52,11 @@
 
 def gateway_of(cluster, client_number):
     """Return the application that lends to a node now."""
-    leases = cluster.nodes[client_number].borrower._leases.values()
-    (gateway_id,) = {lease.connection.gateway_id for lease in leases}
+    borrower = cluster.nodes[client_number].borrower
+    (gateway_id,) = {
+        *(lease.gateway_id for lease in borrower._leases.values()),
+        *(request.gateway_id for request in borrower._requests.values()),
+    }
     return next(node for node in cluster.nodes if node.board.node_id == gateway_id)
 
 
@@ -244,7 +247,7 @@
     assert not (await client.query("WRITE k one")).error
     cluster.group.work_s = 0.2
     asking = asyncio.create_task(client.query("READ k"))
-    await wait_for(lambda: cluster.nodes[others[0]].borrower._leases)
+    await wait_for(lambda: cluster.nodes[others[0]].borrower._requests)
     gateway = gateway_of(cluster, others[0])
     gateway.lender._send = lambda to, message: True
     started_s = asyncio.get_running_loop().time()
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -172,6 +172,38 @@
     names: tuple[tuple[str, str, str], ...] = ()
 
 
+class ReadRequest(msgspec.Struct, frozen=True, array_like=True, tag="read_request"):
+    """Asks a gateway to run one read that belongs to no transaction.
+
+    Attributes:
+        lease: How it would ask for a connection; the answer ends the lease.
+        limit_s: How long the server may take.
+        call: The read, encoded.
+    """
+
+    lease: LeaseRequest
+    limit_s: float
+    call: bytes
+
+
+class ReadAnswer(msgspec.Struct, frozen=True, array_like=True, tag="read_answer"):
+    """The server's answer to a read that a gateway ran.
+
+    Attributes:
+        reply: The answer, encoded; empty if no complete one arrived.
+        error: Why there is none.
+        log_term: Agreed term that the newest position belongs to, or 0.
+        newest: What the gateway was told of the primary's log in that term.
+    """
+
+    node_id: str
+    lease_id: int
+    reply: bytes
+    error: str = ""
+    log_term: int = 0
+    newest: SeenPosition | None = None
+
+
 class LeaseGranted(msgspec.Struct, frozen=True, array_like=True, tag="lease_granted"):
     """A connection is lent.
 
@@ -275,6 +307,8 @@
     | LinkReply
     | LeasesHeld
     | LeasesKnown
+    | ReadRequest
+    | ReadAnswer
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/pollencleat/core/timers.py
+++ b/pollencleat/core/timers.py
@@ -15,7 +15,7 @@
 MAX_SLEEP_S = 0.1
 """Longest time in seconds between two looks at the clock."""
 
-GRAIN_S = 0.05
+GRAIN_S = 0.1
 """Callbacks that are due within this time run together, to wake up less often."""
 
 
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -21,6 +21,8 @@
     LeasesKnown,
     LinkCall,
     LinkReply,
+    ReadAnswer,
+    ReadRequest,
     Sighting,
 )
 from pollencleat.core.timers import read_boottime_s
@@ -52,10 +54,10 @@
 from pollencleat.promotion.attempt import may_name_primary
 from pollencleat.reports.logs import BoundedOutput
 
-FOLLOW_S = 0.05
+FOLLOW_S = 0.1
 """Seconds between two looks at what changed on the blackboard."""
 
-LIVENESS_TICK_S = 0.05
+LIVENESS_TICK_S = 0.1
 """Seconds between two looks at which servers are quiet."""
 
 IDLE_CHECK_S = 0.25
@@ -130,6 +132,8 @@
         self.access.hops = self.borrower
         self.handlers_by_type = {
             LeaseRequest: self.lender.on_request,
+            ReadRequest: self.lender.on_read,
+            ReadAnswer: self.borrower.on_read,
             LeaseEnded: self.lender.on_ended,
             LinkCall: self.lender.on_call,
             LeasesHeld: self.lender.on_held,
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -17,7 +17,7 @@
     WritesUnavailableError,
 )
 from pollencleat.engine.session import SessionState
-from pollencleat.engine.statements import ServerReply
+from pollencleat.engine.statements import ServerReply, Shape, Work
 from pollencleat.limits.gateways import is_pooled_at_gateways
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
@@ -62,12 +62,37 @@
     values: dict[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class ReadCall:
+    """A read that belongs to no transaction.
+
+    Attributes:
+        shape: What its prepared name stands for, or None.
+        at_least: Position that the server must have applied, or None.
+    """
+
+    work: Work
+    shape: Shape | None
+    at_least: Position | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReadResult:
+    """A server's answer to a read, and the gateway that asked it."""
+
+    reply: ServerReply
+    gateway_id: str
+
+
 class Borrower(Protocol):
-    """Borrows connections from other nodes."""
+    """Uses connections of other nodes."""
 
     async def borrow(self, wish: Wish) -> Lease:
         """Borrow a connection; raises a NotRunError if none can be had."""
 
+    async def read(self, wish: Wish, call: ReadCall, limit_s: float) -> ReadResult:
+        """Have a read run; raises a NotRunError or BackendLostError."""
+
 
 class ServerAccess:
     """The node's servers as sessions see them."""
@@ -181,18 +206,11 @@
             BackendUnreachableError: No connection could be opened.
         """
         pool = self.pools.pools_by_server[target.server_id]
+        if self.is_at_gateways(target.server_id):
+            wish = self.make_wish(target, route, session, is_read)
+            return await self.hops.borrow(wish)
         wait_s = route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE
         term = target.term.term if target.term is not None else ANY_TERM
-        if self.hops is not None and self._is_at_gateways(pool):
-            wish = Wish(
-                pool.server,
-                session.account,
-                wait_s,
-                term,
-                is_read and target.term is not None,
-                session.values,
-            )
-            return await self.hops.borrow(wish)
         return await pool.borrow(
             session.account,
             WAITING_STATEMENTS_LIMIT,
@@ -201,10 +219,39 @@
             lambda link: link.values == session.values,
         )
 
-    def _is_at_gateways(self, pool: ServerPool) -> bool:
-        """Return whether the connections belong to others, not to this node."""
-        is_pooled = is_pooled_at_gateways(self.board, pool.server)
-        return is_pooled and not pool.queue.capacity
+    def make_wish(
+        self, target: Target, route: Route, session: SessionState, is_read: bool
+    ) -> Wish:
+        """Return what is wanted of a gateway.
+
+        Args:
+            target: The server.
+            route: Tells how long the statement may wait.
+            session: Whose turn it is.
+            is_read: Nothing will be written.
+
+        Returns:
+            The wish.
+        """
+        return Wish(
+            self.pools.pools_by_server[target.server_id].server,
+            session.account,
+            route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE,
+            target.term.term if target.term is not None else ANY_TERM,
+            is_read and target.term is not None,
+            session.values,
+        )
+
+    def is_at_gateways(self, server_id: str) -> bool:
+        """Return whether the connections belong to others, not to this node.
+
+        Args:
+            server_id: A server that has a pool.
+        """
+        pool = self.pools.pools_by_server[server_id]
+        if self.hops is None or pool.queue.capacity:
+            return False
+        return is_pooled_at_gateways(self.board, pool.server)
 
     # What answers tell.
 
@@ -260,6 +307,20 @@
         finally:
             self.note_ended(server_id, is_answered)
 
+    def note_gateway_read(
+        self, server_id: str, sent_at_s: float, is_answered: bool
+    ) -> None:
+        """Take in whether a server answered a read that a gateway ran.
+
+        Args:
+            server_id: The server.
+            sent_at_s: When the gateway was asked.
+            is_answered: A complete answer came.
+        """
+        view = self.board.server(server_id)
+        view.note_request(sent_at_s)
+        view.note_request_ended(self.clock(), is_answered)
+
     def note_position(
         self, server_id: str, reply: ServerReply, sent_at_s: float, group_id: str
     ) -> None:
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -29,7 +29,7 @@
     UnknownOutcomeError,
     WritesUnavailableError,
 )
-from pollencleat.engine.access import RETRY_AFTER_MS, ServerAccess
+from pollencleat.engine.access import RETRY_AFTER_MS, ReadCall, ServerAccess
 from pollencleat.engine.restore import restore_shape, restore_values
 from pollencleat.engine.session import OpenTransaction, SessionState
 from pollencleat.engine.statements import (
@@ -429,6 +429,8 @@
         while True:
             target = self._choose(route, is_read, excluded)
             try:
+                if is_read and self.access.is_at_gateways(target.server_id):
+                    return await self._read_at_gateway(target, route, work, deadline_s)
                 lease = await self._borrow(target, route, is_read)
                 return await run_on(lease, target, route, work, deadline_s)
             except _NotRunHereError as error:
@@ -455,6 +457,42 @@
             ) from error
         finally:
             lease.give_back(reusable)
+        return self._read_answer(target, reply, known, route)
+
+    async def _read_at_gateway(
+        self, target: Target, route: Route, work: Work, deadline_s: float
+    ) -> Answer:
+        known = self.access.newest_position(target.term)
+        shape = None
+        if work.prepared_name:
+            shape = self.session.shapes_by_name[work.prepared_name]
+        wish = self.access.make_wish(target, route, self.session, True)
+        call = ReadCall(work, shape, target.at_least)
+        sent_at_s = self.access.clock()
+        try:
+            result = await self.access.hops.read(wish, call, deadline_s - sent_at_s)
+        except (OverloadedError, BackendUnreachableError) as error:
+            if self.access.clock() >= deadline_s:
+                self.access.note_gateway_read(target.server_id, sent_at_s, False)
+                raise StatementTimeoutError(error.detail) from error
+            raise _NotRunHereError(error) from error
+        except BackendError as error:
+            self.access.note_gateway_read(target.server_id, sent_at_s, False)
+            raise _NotRunHereError(
+                NoReplicaError(f"{target.server_id}: {describe(error)}", RETRY_AFTER_MS)
+            ) from error
+        reply = result.reply
+        self._trace.gateway_id = result.gateway_id
+        self.access.note_gateway_read(target.server_id, sent_at_s, True)
+        if target.term is not None:
+            # The gateway has made sure before it asked.
+            self.access.note_lead(target.term, sent_at_s)
+        self.access.note_position(target.server_id, reply, sent_at_s, route.group_id)
+        return self._read_answer(target, reply, known, route)
+
+    def _read_answer(
+        self, target: Target, reply: ServerReply, known: Position | None, route: Route
+    ) -> Answer:
         if reply.failure is not None:
             raise _NotRunHereError(self._refusal(target, reply))
         self._require_current(target, reply, known, route)
--- a/pollencleat/hops/borrower.py
+++ b/pollencleat/hops/borrower.py
@@ -32,10 +32,12 @@
     LinkCall,
     LinkReply,
     PeerMessage,
+    ReadAnswer,
+    ReadRequest,
     Sighting,
     SightingRequest,
 )
-from pollencleat.engine.access import Wish
+from pollencleat.engine.access import ReadCall, ReadResult, Wish
 from pollencleat.engine.statements import Begin, Commit, ServerReply, Shape, Work
 from pollencleat.hops.calls import (
     apply_state,
@@ -54,9 +56,20 @@
 """Gateways that are asked for one statement."""
 
 AVOID_S = 1.0
-"""Time for which a gateway that gave no answer is asked last."""
+"""Time for which a gateway that gave no answer is asked last; doubled with each further
+question that it leaves unanswered."""
 
-HELD_S = 0.3
+MOST_AVOID_S = 8.0
+"""Longest such time; a member that is gone is removed after about this time."""
+
+HEARD_LATELY_S = 2.0
+"""A gateway that was heard of within this time is taken to be alive."""
+
+FIRST_ANSWER_S = 0.12
+"""How long a lease from a gateway that has not been heard of lately is waited for, and
+how much longer than its queue's wait a read there."""
+
+HELD_S = 0.6
 """Seconds between two messages that tell a gateway which leases are held."""
 
 GATEWAY_SILENT_S = 1.2
@@ -213,6 +226,15 @@
         self.hops.give_back(self, reusable)
 
 
+@dataclass(frozen=True, slots=True)
+class _Request:
+    """A request whose answer is waited for."""
+
+    gateway_id: str
+    sent_at_s: float
+    future: asyncio.Future
+
+
 @dataclass
 class HopBorrower:
     """All leases that this node holds at gateways.
@@ -230,10 +252,11 @@
 
     def __post_init__(self) -> None:
         """Start without leases."""
-        self._requests: dict[int, asyncio.Future] = {}
+        self._requests: dict[int, _Request] = {}
         self._leases: dict[int, BorrowedLease] = {}
         self._heard_at_s: dict[str, float] = {}
         self._avoid_until_s: dict[str, float] = {}
+        self._avoid_s: dict[str, float] = {}
         self._told_at_s = -1e9
 
     async def borrow(self, wish: Wish) -> BorrowedLease:
@@ -284,11 +307,27 @@
         self, gateway_id: str, wish: Wish, wait_s: float
     ) -> BorrowedLease | LeaseRefused | None:
         """Return the gateway's answer, or None if it gave none."""
-        lease_id = secrets.randbits(LEASE_ID_BITS)
+        request = self._make_request(wish, wait_s)
         requested_at_s = self.clock()
-        request = LeaseRequest(
+        limit_s = wait_s + GRANT_MARGIN_S
+        if not self._is_heard(gateway_id):
+            limit_s = min(limit_s, FIRST_ANSWER_S)
+        answer = await self._exchange(gateway_id, request.lease_id, request, limit_s)
+        if not isinstance(answer, LeaseGranted):
+            return answer
+        link = BorrowedLink(self, gateway_id, request.lease_id)
+        apply_state(link, answer.state)
+        lease = BorrowedLease(
+            self, link, wish.server.server_id, wish.term, requested_at_s
+        )
+        self._leases[request.lease_id] = lease
+        self._take_newest(wish.server.group_id, answer, requested_at_s)
+        return lease
+
+    def _make_request(self, wish: Wish, wait_s: float) -> LeaseRequest:
+        return LeaseRequest(
             self.board.node_id,
-            lease_id,
+            secrets.randbits(LEASE_ID_BITS),
             wish.server.server_id,
             wish.account,
             wait_s,
@@ -296,14 +335,19 @@
             wish.needs_lead,
             wish.values,
         )
+
+    async def _exchange(
+        self, gateway_id: str, lease_id: int, request: PeerMessage, limit_s: float
+    ) -> LeaseGranted | LeaseRefused | ReadAnswer | None:
+        """Send a request and wait for what answers it; None if nothing does."""
         if not self.send(gateway_id, request):
             self._avoid(gateway_id)
             return None
         future = asyncio.get_running_loop().create_future()
-        self._requests[lease_id] = future
+        self._requests[lease_id] = _Request(gateway_id, self.clock(), future)
         try:
-            async with asyncio.timeout(wait_s + GRANT_MARGIN_S):
-                answer = await future
+            async with asyncio.timeout(limit_s):
+                return await future
         except TimeoutError:
             self._avoid(gateway_id)
             self.send(gateway_id, LeaseEnded(self.board.node_id, lease_id, None))
@@ -313,23 +357,82 @@
             raise
         finally:
             self._requests.pop(lease_id, None)
-        if isinstance(answer, LeaseRefused):
-            return answer
-        link = BorrowedLink(self, gateway_id, lease_id)
-        apply_state(link, answer.state)
-        lease = BorrowedLease(
-            self, link, wish.server.server_id, wish.term, requested_at_s
+
+    async def read(self, wish: Wish, call: ReadCall, limit_s: float) -> ReadResult:
+        """Have a gateway run a read that belongs to no transaction.
+
+        Args:
+            wish: The connection that it needs.
+            call: The read.
+            limit_s: How long the server may take.
+
+        Returns:
+            The server's answer.
+
+        Raises:
+            OverloadedError: The wait would be, or was, too long.
+            BackendUnreachableError: No gateway has a connection.
+            BackendLostError: No complete answer arrived.
+        """
+        server_id = wish.server.server_id
+        self.open_by_server[server_id] += 1
+        try:
+            return await self._read(wish, call, limit_s)
+        finally:
+            self._forget_open(server_id)
+
+    async def _read(self, wish: Wish, call: ReadCall, limit_s: float) -> ReadResult:
+        deadline_s = self.clock() + limit_s
+        payload = encode_arguments((call.work, call.shape, call.at_least))
+        error: CallerError = BackendUnreachableError(
+            f"server {wish.server.server_id}: no gateway answers", RETRY_AFTER_MS
         )
-        self._leases[lease_id] = lease
-        self._take_newest(wish.server.group_id, answer, requested_at_s)
-        return lease
+        gateways = order_gateways(self.board, wish.server, self._silent_gateways())
+        for gateway in gateways[:GATEWAYS_TRIED]:
+            left_s = deadline_s - self.clock()
+            if left_s <= 0:
+                break
+            request = self._make_request(wish, min(wish.wait_s, left_s))
+            requested_at_s = self.clock()
+            message = ReadRequest(request, left_s, payload)
+            if not self._is_heard(gateway.node_id):
+                left_s = min(left_s, request.wait_s + FIRST_ANSWER_S)
+            answer = await self._exchange(
+                gateway.node_id, request.lease_id, message, left_s
+            )
+            if isinstance(answer, LeaseRefused):
+                error = _refusal(wish.server.server_id, answer)
+            if not isinstance(answer, ReadAnswer):
+                continue
+            if answer.error:
+                raise BackendLostError(f"gateway {gateway.node_id}: {answer.error}")
+            self._take_newest(wish.server.group_id, answer, requested_at_s)
+            return ReadResult(decode_reply(answer.reply), gateway.node_id)
+        raise error
+
+    def _is_heard(self, gateway_id: str) -> bool:
+        heard_at_s = self._heard_at_s.get(gateway_id, -1e9)
+        return self.clock() - heard_at_s < HEARD_LATELY_S
+
+    def _note_heard(self, gateway_id: str) -> None:
+        self._heard_at_s[gateway_id] = self.clock()
+        self._avoid_s.pop(gateway_id, None)
+        self._avoid_until_s.pop(gateway_id, None)
 
     def _avoid(self, gateway_id: str) -> None:
-        self._avoid_until_s[gateway_id] = self.clock() + AVOID_S
+        now_s = self.clock()
+        if now_s < self._avoid_until_s.get(gateway_id, -1e9):
+            return
+        avoid_s = self._avoid_s.get(gateway_id, AVOID_S)
+        self._avoid_s[gateway_id] = min(MOST_AVOID_S, 2 * avoid_s)
+        self._avoid_until_s[gateway_id] = now_s + avoid_s
         self.metrics.count("gateway_silent", gateway_id)
 
     def _take_newest(
-        self, group_id: str, granted: LeaseGranted, requested_at_s: float
+        self,
+        group_id: str,
+        granted: LeaseGranted | ReadAnswer,
+        requested_at_s: float,
     ) -> None:
         """Keep what the gateway was told of the primary's log.
 
@@ -366,33 +469,41 @@
 
     def on_granted(self, message: LeaseGranted) -> None:
         """Take in a granted lease; one that nobody waits for is given back."""
-        self._heard_at_s[message.node_id] = self.clock()
-        future = self._requests.get(message.lease_id)
-        if future is None or future.done():
+        self._note_heard(message.node_id)
+        if not self._settle(message):
             self.send(
                 message.node_id,
                 LeaseEnded(self.board.node_id, message.lease_id, message.state),
             )
-            return
-        future.set_result(message)
+
+    def on_read(self, message: ReadAnswer) -> None:
+        """Take in the answer to a read."""
+        self._note_heard(message.node_id)
+        self._settle(message)
+
+    def _settle(self, message: LeaseGranted | LeaseRefused | ReadAnswer) -> bool:
+        """Hand an answer to who waits for it; return whether anybody does."""
+        request = self._requests.get(message.lease_id)
+        if request is None or request.future.done():
+            return False
+        request.future.set_result(message)
+        return True
 
     def on_refused(self, message: LeaseRefused) -> None:
         """Take in that no connection is lent."""
-        self._heard_at_s[message.node_id] = self.clock()
-        future = self._requests.get(message.lease_id)
-        if future is not None and not future.done():
-            future.set_result(message)
+        self._note_heard(message.node_id)
+        self._settle(message)
 
     def on_reply(self, message: LinkReply) -> None:
         """Take in the answer to a call."""
-        self._heard_at_s[message.node_id] = self.clock()
+        self._note_heard(message.node_id)
         lease = self._leases.get(message.lease_id)
         if lease is not None:
             lease.connection.on_reply(message)
 
     def on_known(self, message: LeasesKnown) -> None:
         """Take in which leases a gateway has ended."""
-        self._heard_at_s[message.node_id] = self.clock()
+        self._note_heard(message.node_id)
         for lease_id in message.unknown_ids:
             lease = self._leases.get(lease_id)
             if lease is not None and lease.connection.gateway_id == message.node_id:
@@ -419,8 +530,20 @@
             self._avoid(link.gateway_id)
             if lease.is_read and link.is_waiting:
                 link.fail(f"gateway {link.gateway_id} is silent")
+        self._leave_silent_gateways(now_s)
         self._follow_quiet_servers(now_s)
 
+    def _leave_silent_gateways(self, now_s: float) -> None:
+        """Ask another gateway where one has been silent since it was asked."""
+        for request in list(self._requests.values()):
+            heard_at_s = max(
+                request.sent_at_s, self._heard_at_s.get(request.gateway_id, -1e9)
+            )
+            if now_s - heard_at_s < GATEWAY_SILENT_S or request.future.done():
+                continue
+            self._avoid(request.gateway_id)
+            request.future.set_result(None)
+
     def _follow_quiet_servers(self, now_s: float) -> None:
         """Ask gateways about servers that owe this node an answer.
 
--- a/pollencleat/hops/calls.py
+++ b/pollencleat/hops/calls.py
@@ -29,6 +29,7 @@
     "prepare": msgspec.msgpack.Decoder(tuple[str, Shape]),
     "reset": msgspec.msgpack.Decoder(tuple[()]),
 }
+_read_decoder = msgspec.msgpack.Decoder(tuple[Work, Shape | None, Position | None])
 _encoder = msgspec.msgpack.Encoder()
 _reply_decoder = msgspec.msgpack.Decoder(ServerReply)
 
@@ -62,6 +63,24 @@
     return getattr(link, call)(*values)
 
 
+def decode_read(payload: bytes) -> tuple[Work, Shape | None, Position | None]:
+    """Return a read, what its prepared name stands for, and the position it needs.
+
+    Args:
+        payload: As received.
+
+    Returns:
+        The three.
+
+    Raises:
+        BackendLostError: The payload is malformed.
+    """
+    try:
+        return _read_decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise BackendLostError(f"malformed read: {error}") from error
+
+
 def encode_reply(reply: ServerReply) -> bytes:
     """Return the wire form of a server's answer."""
     return _encoder.encode(reply)
--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from pollencleat.backend.pool import Lease, PooledConnection
@@ -27,10 +27,21 @@
     LinkCall,
     LinkReply,
     PeerMessage,
+    ReadAnswer,
+    ReadRequest,
     SeenPosition,
 )
 from pollencleat.engine.access import WAITING_STATEMENTS_LIMIT, ServerAccess
-from pollencleat.hops.calls import apply_state, encode_reply, start_call, state_of
+from pollencleat.engine.restore import restore_shape, restore_values
+from pollencleat.engine.session import SessionState
+from pollencleat.engine.statements import ServerReply
+from pollencleat.hops.calls import (
+    apply_state,
+    decode_read,
+    encode_reply,
+    start_call,
+    state_of,
+)
 from pollencleat.reports.metrics import Metrics
 
 BORROWER_SILENT_S = 3.0
@@ -89,6 +100,12 @@
 
     def on_request(self, request: LeaseRequest) -> None:
         """Lend a connection, or queue the request, or refuse it at once."""
+        if self._is_refused(request) or request.lease_id in self._requests_by_id:
+            return
+        self._requests_by_id[request.lease_id] = self._start(self._grant(request))
+
+    def _is_refused(self, request: LeaseRequest) -> bool:
+        """Refuse a request that cannot be served; return whether that was so."""
         pool = self._access.pools.pools_by_server.get(request.server_id)
         if self._board.draining:
             self._refuse(request, False, "the gateway is stopping")
@@ -96,9 +113,68 @@
             self._refuse(request, False, "the node is no gateway")
         elif len(self._requests_by_id) >= REQUESTS_LIMIT:
             self._refuse(request, True, "too many requests wait")
-        elif request.lease_id not in self._requests_by_id:
-            task = self._start(self._grant(request))
-            self._requests_by_id[request.lease_id] = task
+        else:
+            return False
+        return True
+
+    def on_read(self, request: ReadRequest) -> None:
+        """Run a read on one of the node's connections."""
+        lease = request.lease
+        if self._is_refused(lease) or lease.lease_id in self._requests_by_id:
+            return
+        self._requests_by_id[lease.lease_id] = self._start(self._read(request))
+
+    async def _read(self, request: ReadRequest) -> None:
+        wish = request.lease
+        try:
+            lease = await self._borrow(wish)
+            lease.is_read = True
+            reusable = False
+            try:
+                async with asyncio.timeout(request.limit_s):
+                    reply = await self._run_read(request, lease)
+                reusable = not reply.in_transaction
+            finally:
+                lease.give_back(reusable)
+        except CallerError as error:
+            is_overload = isinstance(error, OverloadedError)
+            self._refuse(wish, is_overload, error.detail, error.retry_after_ms)
+        except (BackendError, TimeoutError) as error:
+            text = str(error) or type(error).__name__
+            answer = ReadAnswer(self._board.node_id, wish.lease_id, b"", text)
+            self._send(wish.node_id, answer)
+        else:
+            log_term, newest = self._newest(lease)
+            answer = ReadAnswer(
+                self._board.node_id,
+                wish.lease_id,
+                encode_reply(reply),
+                "",
+                log_term,
+                newest,
+            )
+            self._send(wish.node_id, answer)
+        finally:
+            self._requests_by_id.pop(wish.lease_id, None)
+
+    async def _run_read(self, request: ReadRequest, lease: Lease) -> ServerReply:
+        """Give the connection the session's values, and run the read."""
+        access = self._access
+        server = lease.pool.server
+        link = lease.connection
+
+        async def ask(call: Awaitable[ServerReply]) -> ServerReply:
+            return await access.track(server.server_id, call)
+
+        work, shape, at_least = decode_read(request.call)
+        session = SessionState("", request.lease.account)
+        session.values = request.lease.values
+        await restore_values(link, session, ask)
+        name = "" if shape is None else await restore_shape(link, shape, ask)
+        sent_at_s = access.clock()
+        reply = await ask(link.run(work, name, at_least))
+        access.note_position(server.server_id, reply, sent_at_s, server.group_id)
+        return reply
 
     def _start(self, coroutine: object) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -161,20 +237,24 @@
         return await self._access.wait_until_confirmed(term)
 
     def _make_granted(self, request: LeaseRequest, lease: Lease) -> LeaseGranted:
-        board = self._board
-        bounds = board.bounds_by_group.get(lease.pool.server.group_id)
-        newest = None
-        if bounds is not None and bounds.entries:
-            asked_at_s, position = bounds.entries[-1]
-            newest = SeenPosition(position, self._access.clock() - asked_at_s)
+        log_term, newest = self._newest(lease)
         return LeaseGranted(
-            board.node_id,
+            self._board.node_id,
             request.lease_id,
             state_of(lease.connection),
-            bounds.term if newest is not None else 0,
+            log_term,
             newest,
         )
 
+    def _newest(self, lease: Lease) -> tuple[int, SeenPosition | None]:
+        """Return what this node was told of the primary's log, and in which term."""
+        bounds = self._board.bounds_by_group.get(lease.pool.server.group_id)
+        if bounds is None or not bounds.entries:
+            return 0, None
+        asked_at_s, position = bounds.entries[-1]
+        age_s = self._access.clock() - asked_at_s
+        return bounds.term, SeenPosition(position, age_s)
+
     def _refuse(
         self,
         request: LeaseRequest,
