--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -21,6 +21,9 @@
     LeasesKnown,
     LinkCall,
     LinkReply,
+    ReadAnswer,
+    ReadRequest,
+    Sighting,
 )
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.daemon.readiness import is_ready
@@ -51,10 +54,10 @@
 from pollencleat.promotion.attempt import may_name_primary
 from pollencleat.reports.logs import BoundedOutput
 
-FOLLOW_S = 0.05
+FOLLOW_S = 0.1
 """Seconds between two looks at what changed on the blackboard."""
 
-LIVENESS_TICK_S = 0.05
+LIVENESS_TICK_S = 0.1
 """Seconds between two looks at which servers are quiet."""
 
 IDLE_CHECK_S = 0.25
@@ -129,6 +132,8 @@
         self.access.hops = self.borrower
         self.handlers_by_type = {
             LeaseRequest: self.lender.on_request,
+            ReadRequest: self.lender.on_read,
+            ReadAnswer: self.borrower.on_read,
             LeaseEnded: self.lender.on_ended,
             LinkCall: self.lender.on_call,
             LeasesHeld: self.lender.on_held,
@@ -136,6 +141,7 @@
             LeaseRefused: self.borrower.on_refused,
             LinkReply: self.borrower.on_reply,
             LeasesKnown: self.borrower.on_known,
+            Sighting: self._on_sighting,
         }
         self.listener = SessionListener(
             self.access, ClientConnection, MAX_LINE_BYTES, self.faults
@@ -201,6 +207,10 @@
             CLOSE_ORDERS_S, lambda: self.orders.close_unused(read_boottime_s())
         )
 
+    def _on_sighting(self, sighting: Sighting) -> None:
+        self.borrower.on_sighting(sighting)
+        self.node.handle(sighting)
+
     def _follow_leases(self) -> None:
         self.borrower.tick()
         self.lender.tick()
