Let few nodes ask all others about a dead primary

Load pattern: every node suspects a dead primary in the same moment and asked every other ten times a second (36 nodes: 12,600 questions a second). Now six ask at once, the others 0.1 s later each, by when a start is known.

--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -77,6 +77,13 @@
 ASK_PEERS_S = 0.15
 """How long answers to a sighting request are waited for."""
 
+FIRST_ASKERS = 6
+"""Candidates that ask all others at once; every node suspects a dead primary in the
+same moment."""
+
+ASK_RANK_DELAY_S = 0.1
+"""Each further candidate waits this much longer before it asks."""
+
 RANK_DELAY_S = 0.25
 """Each further candidate waits this much longer before it begins."""
 
@@ -229,6 +236,9 @@
         self, group_id: str, term: GroupTerm | None, suspect: Suspect, now_s: float
     ) -> bool:
         if suspect.suspicion is Suspicion.LOST:
+            later = max(0, self._rank(group_id) + 1 - FIRST_ASKERS)
+            if now_s - suspect.since_s < later * ASK_RANK_DELAY_S:
+                return False
             self._ask_peers(term.primary, suspect, now_s)
             # Those that cannot answer are cut off or dead; nobody waits for their turn.
             reachable = {self.board.node_id, *suspect.sightings_by_node}
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -29,6 +29,7 @@
 from pollencleat.promotion.attempt import REMOVED_WAIT_S, Phase
 from pollencleat.promotion.controller import (
     ASK_PEERS_S,
+    FIRST_ASKERS,
     RANK_DELAY_S,
     WARM_UP_S,
     PromotionController,
@@ -286,3 +287,20 @@
     controller = PromotionController(board, 0.0)
     assert not run(controller, board, steps(5.0, 9.0), True)
     assert not controller.suspects_by_group
+
+
+def test_few_of_many_nodes_ask_all_others_about_a_dead_primary():
+    """Load pattern: 36 nodes suspect the same primary in the same moment; if all asked
+    all, ten times a second, that would be 12,600 questions a second."""
+    names = [f"m{number:02}" for number in range(36)]
+    members = {name: Member(name, f"{name}-1", "b", "", "", 1, True) for name in names}
+    asked = 0
+    for name in names:
+        board = make_board()
+        board.node_id, board.incarnation = name, f"{name}-1"
+        board.fleet = replace(board.fleet, members_by_id=members)
+        controller = PromotionController(board, 0.0)
+        board.server("p").note_request(5.0)
+        run(controller, board, steps(5.0, 5.0 + FAILOVER_AFTER_S + ASK_PEERS_S), True)
+        asked += bool(board.outbox)
+    assert 1 <= asked <= FIRST_ASKERS
