Take no final position from a primary that has lost its log

In the second round of questions it answered first; an empty log has all of an empty log, so it was made primary while the replica with 90 commits was still being asked. Change: the word of an old primary counts only if it did not lose its role by itself and has at least what any member was told before. Test: promotion/attempt_test.py, fails on the code of before.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -328,12 +328,38 @@
         old = attempt.statuses_by_server.get(attempt.promotion.old_primary)
     status = attempt.statuses_by_server[server_id]
     log_end = (status.last_entry_term, status.received_position)
-    if old is not None and log_end >= (old.last_entry_term, old.received_position):
+    if (
+        old is not None
+        and tells_final_position(attempt, old)
+        and log_end >= (old.last_entry_term, old.received_position)
+    ):
         return True
     seen = find_highest_seen(attempt)
     return seen is not None and log_end >= (seen.term, seen.position)
 
 
+def tells_final_position(attempt: Attempt, old: ServerStatus) -> bool:
+    """Return whether an old primary's log still holds all that it acknowledged.
+
+    Args:
+        attempt: With what the members were told.
+        old: The old primary's status after it was fenced.
+
+    Returns:
+        False if it had lost its role by itself, or has less than it has told before: it
+        started again, maybe with nothing.
+    """
+    if attempt.promotion.cause == Suspicion.DEMOTED.value:
+        return False
+    for seen in attempt.seen_by_member.values():
+        if seen is None:
+            continue
+        told = (seen.position.term, seen.position.position)
+        if (old.last_entry_term, old.received_position) < told:
+            return False
+    return True
+
+
 def find_highest_seen(attempt: Attempt) -> Position | None:
     """Return a position that no acknowledged commit lies beyond.
 
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -1,12 +1,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollencleat.core.data import DatabaseGroup, Promotion, ServerStatus
+from pollencleat.core.data import DatabaseGroup, Position, Promotion, ServerStatus
+from pollencleat.core.messages import SeenPosition
 from pollencleat.promotion.attempt import (
     Attempt,
     choose_server,
     has_every_acknowledged_commit,
 )
+from pollencleat.promotion.suspicion import Suspicion
 
 SERVERS = ("old", "r1", "r2", "r3")
 
@@ -106,3 +108,35 @@
     attempt = make_attempt({"old": make_status(0), "r1": make_status(0)})
     attempt.position_by_server = {"old": 7, "r1": 7}
     assert choose_server(attempt, ("old", "r1"), ()) == "old"
+
+
+def make_attempt_with_empty_old(cause, seen):
+    """Return an attempt in which only the old primary, now empty, has answered."""
+    empty = make_status(0)
+    attempt = make_attempt({"old": empty}, empty)
+    attempt.promotion = Promotion("a/1", "n", "n-1", "old", False, cause)
+    attempt.waiting_for = {"m-1"}
+    attempt.seen_by_member = {"n-1": seen}
+    return attempt
+
+
+def test_empty_log_of_an_old_primary_proves_nothing():
+    """Regression (soak, seed 1001): a primary that had come back empty gave 0 as its
+    final position, before the replica with all 90 commits had answered again, and was
+    made primary; 181 acknowledged writes were lost."""
+    group = make_group(1, ("old", "r1", "r2"))
+    demoted = make_attempt_with_empty_old(Suspicion.DEMOTED.value, None)
+    assert not has_every_acknowledged_commit(demoted, group, "old")
+    seen = SeenPosition(Position(3, 90), 0.1)
+    lost = make_attempt_with_empty_old(Suspicion.LOST.value, seen)
+    assert not has_every_acknowledged_commit(lost, group, "old")
+
+
+def test_replica_with_all_that_was_seen_is_chosen_beside_an_empty_old_primary():
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt_with_empty_old(Suspicion.DEMOTED.value, None)
+    attempt.statuses_by_server = {"old": make_status(0), "r1": make_status(90)}
+    attempt.waiting_for = set()
+    attempt.seen_by_member = {"n-1": SeenPosition(Position(3, 90), 0.1)}
+    assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r1"
+    assert has_every_acknowledged_commit(attempt, group, "r1")
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -567,6 +567,11 @@
             return
         attempt.chosen = attempt.promotion.old_primary
         attempt.is_withdrawn = True
+        # What this node was owed is no sign of a loss any more.
+        view = self.board.server(attempt.chosen)
+        view.answered_at_s = now_s
+        view.refused_at_s = None
+        view.owing_since_s = now_s if view.open_requests else None
         attempt.enter(Phase.PUBLISHING, now_s)
         self._advance_publishing(attempt)
 
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -304,3 +304,16 @@
         run(controller, board, steps(5.0, 5.0 + FAILOVER_AFTER_S + ASK_PEERS_S), True)
         asked += bool(board.outbox)
     assert 1 <= asked <= FIRST_ASKERS
+
+
+def test_withdrawn_replacement_is_not_begun_again_for_the_same_silence():
+    """Regression (a soak with nine entry VMs): a node that was owed an answer for 31 s
+    began a replacement every 1.2 s, and withdrew each when the primary answered."""
+    board, controller = begin_attempt_of("primary lost")
+    board.server("p").note_request(2.0)
+    board.server("p").note_request_ended(2.0, False)
+    tell_status(controller, read_only=False)
+    update = board.effects[-1]
+    board.effects.clear()
+    controller.on_updated(FleetUpdated(update, 3), 10.2)
+    assert not run(controller, board, steps(10.2, 14.0), True)
