Give up a connection between nodes whose greeting stays unanswered

The library waits 30 s for a greeting, and its heartbeats begin after it. Ruled out, by tries that did not provoke it: the task that answers key questions, a process stopped for 6 s. Change: 0.5 s to open a connection, 1.5 s for its handshake. Test: peers/transport_test.py fails on the code of before.

--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -37,6 +37,14 @@
 UNACKNOWLEDGED_LIMIT_MS = 2_000
 """Unacknowledged data closes a connection to a peer after this time."""
 
+CONNECT_LIMIT_MS = 500
+"""A connection that takes longer to open is tried anew.  The system repeats the first
+packet after 1, 3, 7 and 15 s only, so that a cut would last that much longer."""
+
+GREETING_LIMIT_MS = 1_500
+"""A new connection whose handshake takes longer is tried anew; the library's own limit
+is 30 s.  Longer than a newcomer's key is looked for."""
+
 HEARTBEAT_MS = 500
 """Interval of the transport's own heartbeats; they find silent connections."""
 
@@ -224,6 +232,8 @@
         socket.curve_serverkey = server_key
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         _set_liveness(socket)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_LIMIT_MS)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, GREETING_LIMIT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
         socket.connect(address)
--- a/pollencleat/peers/transport_test.py
+++ b/pollencleat/peers/transport_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import gc
+import socket
 
 from pollencleat.core.messages import SightingRequest
 from pollencleat.core.timers import read_boottime_s
@@ -53,3 +54,33 @@
             await asyncio.sleep(0.01)
     finally:
         receiver.close()
+
+
+async def test_peer_is_heard_soon_after_a_cut_ends():
+    """Regression (grown Volta, trouble-1): a connection whose greeting a cut had
+    swallowed was waited for 30 s, and the nodes stayed deaf to each other."""
+    silent = socket.socket()
+    silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    silent.bind(("127.0.0.1", 0))
+    silent.listen(8)
+    address = f"tcp://127.0.0.1:{silent.getsockname()[1]}"
+    keys = make_curve_keys()
+    heard = []
+    sender = PeerTransport(keys, heard.append, read_boottime_s, lambda: None)
+    sender.start("tcp://127.0.0.1:0")
+    message = SightingRequest("n", "server")
+    sender.send(address, message)
+    await asyncio.sleep(0.3)
+    held, _ = silent.accept()
+    silent.close()
+    receiver = PeerTransport(keys, heard.append, read_boottime_s, lambda: None)
+    receiver.start(address)
+    try:
+        async with asyncio.timeout(4.0):
+            while not heard:
+                sender.send(address, message)
+                await asyncio.sleep(0.05)
+    finally:
+        sender.close()
+        receiver.close()
+        held.close()
