Ask a second server for a read whose first is late

Change: limits/second_tries.py says after how long (the objective, or half of the rest); engine/second_tries.py waits for whichever of the tries answers first.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -7,6 +7,7 @@
 from click.testing import CliRunner
 
 from bench.platform_cluster import LineClient, PlatformCluster
+from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
 from pollencleat.tools.main import main
 
@@ -145,6 +146,40 @@
     assert (await client.query("READ k")).receipt
 
 
+async def test_read_at_a_server_that_goes_silent_is_answered_by_another(cluster):
+    """Load pattern: one server takes requests and answers none."""
+    writer = await cluster.connect("main-db")
+    await writer.query("WRITE k here")
+    servers = cluster.group.servers
+    await wait_for(lambda: _has_all(servers))
+    clients = [await cluster.connect("old-db") for _ in range(6)]
+    for client in clients:
+        assert not (await client.query("READ k")).error
+    servers[1].faults.silent = True
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    while loop.time() < started_s + 2.0:
+        answers = await asyncio.gather(*(client.query("READ k") for client in clients))
+        assert [answer.rows for answer in answers] == [("here",)] * len(clients)
+
+
+async def _has_all(servers):
+    return len({server.applied for server in servers}) == 1
+
+
+async def test_reads_stay_where_they_are_when_all_servers_are_slow(cluster):
+    """Load pattern: the whole group is slow; second tries would add to its load."""
+    clients = [await cluster.connect("old-db") for _ in range(9)]
+    cluster.group.work_s = 0.6
+    cluster.group.runs.clear()
+    for _ in range(4):
+        answers = await asyncio.gather(*(client.query("READ k") for client in clients))
+        assert not any(answer.error for answer in answers)
+    await asyncio.sleep(0.7)
+    asked = 4 * len(clients)
+    assert len(cluster.group.runs) <= asked + RETRY_RATIO * asked + BURST
+
+
 async def test_busy_server_is_a_true_refusal(cluster):
     client = await cluster.connect("main-db")
     before = len(cluster.group.runs)
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -19,6 +19,7 @@
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply, Shape, Work
 from pollencleat.limits.gateways import is_pooled_at_gateways
+from pollencleat.limits.retries import RetryBudget
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.freshness import is_primary_confirmed
@@ -119,6 +120,7 @@
         self.ask_status: Callable[[str], None] = self.note_doubt
         self.has_joined = False
         self.hops: Borrower | None = None
+        self.second_tries = RetryBudget()
 
     def follow_board(self, is_ready: bool) -> None:
         """Adapt pools to the blackboard; work begins when they have their share.
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -31,6 +31,7 @@
 )
 from pollencleat.engine.access import RETRY_AFTER_MS, ReadCall, ServerAccess
 from pollencleat.engine.restore import restore_shape, restore_values
+from pollencleat.engine.second_tries import answer_of_either
 from pollencleat.engine.session import OpenTransaction, SessionState
 from pollencleat.engine.statements import (
     NOT_RUN_FAILURES,
@@ -48,6 +49,7 @@
     Statement,
     Work,
 )
+from pollencleat.limits.second_tries import second_try_after_s
 from pollencleat.routing.placement import Target, choose_for_read, choose_primary
 
 TRIES = 4
@@ -60,8 +62,6 @@
 ROLLBACK_LIMIT_S = 1.0
 """How long a server may take to roll back; the connection is closed after that."""
 
-RunOn = Callable[[Lease, Target, Route, Work, float], Awaitable[Answer]]
-
 log = structlog.get_logger()
 _handlers_by_type: dict[type, Callable] = {}
 
@@ -339,8 +339,8 @@
             return await self._work_in_transaction(transaction, work, access)
         route = self.access.route_of(self.session.database)
         if access is Access.WRITE:
-            return await self._run_somewhere(route, work, False, self._write_on)
-        return await self._run_somewhere(route, work, True, self._read_on)
+            return await self._write_somewhere(route, work)
+        return await self._read_somewhere(route, work)
 
     async def _work_in_transaction(
         self, transaction: OpenTransaction, work: Work, access: Access
@@ -420,23 +420,100 @@
         transaction.lease = lease
         transaction.term = target.term
 
-    async def _run_somewhere(
-        self, route: Route, work: Work, is_read: bool, run_on: RunOn
-    ) -> Answer:
-        """Try servers one after the other until one has run the statement."""
+    async def _write_somewhere(self, route: Route, work: Work) -> Answer:
+        """Try connections one after the other until one has run the write."""
         excluded: set[str] = set()
         deadline_s = self.access.clock() + route.statement_limit_ms / 1000
         while True:
-            target = self._choose(route, is_read, excluded)
+            target = self._choose(route, False, excluded)
             try:
-                if is_read and self.access.is_at_gateways(target.server_id):
-                    return await self._read_at_gateway(target, route, work, deadline_s)
-                lease = await self._borrow(target, route, is_read)
-                return await run_on(lease, target, route, work, deadline_s)
+                lease = await self._borrow(target, route, False)
+                return await self._write_on(lease, target, route, work, deadline_s)
             except _NotRunHereError as error:
                 excluded.add(target.server_id)
                 self._give_up_after(error.cause)
 
+    async def _read_somewhere(self, route: Route, work: Work) -> Answer:
+        """Try servers one after the other, or two at once, until one has answered."""
+        excluded: set[str] = set()
+        self.access.second_tries.record_attempt()
+        started_s = self.access.clock()
+        deadline_s = started_s + route.statement_limit_ms / 1000
+        while True:
+            target = self._choose(route, True, excluded)
+            excluded.add(target.server_id)
+            try:
+                return await self._read_patiently(
+                    target, excluded, route, work, deadline_s
+                )
+            except _NotRunHereError as error:
+                self._give_up_after(error.cause)
+
+    async def _read_patiently(
+        self,
+        target: Target,
+        excluded: set[str],
+        route: Route,
+        work: Work,
+        deadline_s: float,
+    ) -> Answer:
+        """Read at a server, and at another one too if that takes its time."""
+
+        def read_at_other() -> asyncio.Task[Answer] | None:
+            other = self._find_second(route, excluded)
+            if other is None:
+                return None
+            self.access.metrics.count("read_asked_again", target.server_id)
+            reading = self._read_at_second(
+                other, target, excluded, route, work, deadline_s
+            )
+            return asyncio.get_running_loop().create_task(reading)
+
+        patience_s = second_try_after_s(
+            route.latency_objective_ms / 1000, deadline_s - self.access.clock()
+        )
+        return await answer_of_either(
+            self._read_at(target, route, work, deadline_s), patience_s, read_at_other
+        )
+
+    def _find_second(self, route: Route, excluded: set[str]) -> Target | None:
+        """Return another server for a read, if there is one that the budget allows."""
+        if self._trace.tries >= TRIES:
+            return None
+        other = self._find_for_read(route, excluded)
+        if other is None or other.server_id not in self.access.pools.pools_by_server:
+            return None
+        if not self.access.second_tries.take():
+            return None
+        excluded.add(other.server_id)
+        self._trace.tries += 1
+        return other
+
+    async def _read_at_second(
+        self,
+        target: Target,
+        late: Target,
+        excluded: set[str],
+        route: Route,
+        work: Work,
+        deadline_s: float,
+    ) -> Answer:
+        answer = await self._read_patiently(target, excluded, route, work, deadline_s)
+        if self.access.is_at_gateways(late.server_id):
+            self.access.note_gateway_read(late.server_id, False)
+        return answer
+
+    async def _read_at(
+        self, target: Target, route: Route, work: Work, deadline_s: float
+    ) -> Answer:
+        if self.access.is_at_gateways(target.server_id):
+            answer = await self._read_at_gateway(target, route, work, deadline_s)
+        else:
+            lease = await self._borrow(target, route, True)
+            answer = await self._read_on(lease, target, route, work, deadline_s)
+        self._note_target(target)
+        return answer
+
     async def _read_on(
         self, lease: Lease, target: Target, route: Route, work: Work, deadline_s: float
     ) -> Answer:
@@ -575,29 +652,35 @@
     def _choose(self, route: Route, is_read: bool, excluded: set[str]) -> Target:
         """Return where to try next, or raise that nobody can run it."""
         self._trace.tries += 1
-        now_s = self.access.clock()
-        board = self.access.board
         if is_read:
-            target = choose_for_read(
-                board,
-                route,
-                self.session.seen_by_group.get(route.group_id),
-                self.access.pools.outstanding,
-                excluded,
-                now_s,
-            )
+            target = self._find_for_read(route, excluded)
         else:
-            target = choose_primary(board, route.group_id, excluded, now_s)
+            target = choose_primary(
+                self.access.board, route.group_id, excluded, self.access.clock()
+            )
         if target is None or target.server_id not in self.access.pools.pools_by_server:
             reason = self.access.why_not_writable(route.group_id)
             if self._trace.last_failure:
                 reason = self._trace.last_failure
             kind = NoReplicaError if is_read else WritesUnavailableError
             raise kind(reason, RETRY_AFTER_MS)
+        self._note_target(target)
+        return target
+
+    def _note_target(self, target: Target) -> None:
         self._trace.server_id = target.server_id
         self._trace.at_least = str(target.at_least or "")
         self._trace.term = target.term.term if target.term is not None else 0
-        return target
+
+    def _find_for_read(self, route: Route, excluded: set[str]) -> Target | None:
+        return choose_for_read(
+            self.access.board,
+            route,
+            self.session.seen_by_group.get(route.group_id),
+            self.access.pools.outstanding,
+            excluded,
+            self.access.clock(),
+        )
 
     def _give_up_after(self, error: CallerError) -> None:
         """Raise if the statement has been tried often enough."""
