Pause between refused orders of a promotion; order nothing without a recent read

Ruled out: an order that goes out twice (each was refused before it left). Change: no order without the read of the platform that it needs; after a refusal the servers are asked again after 0.1 s. Test: 724 orders in 4.8 s before, at most 147 allowed. The test of orders that go out once keeps the read recent now, as the real node does; it is as strict.

--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -57,6 +57,7 @@
     has_every_acknowledged_commit,
     has_permit_lapsed,
     is_caught_up,
+    may_name_primary,
     may_withdraw,
 )
 from pollencleat.promotion.suspicion import (
@@ -615,6 +616,9 @@
         if attempt.is_order_open:
             # Its result is always told; a second order could name another server.
             return
+        if not may_name_primary(self.board, attempt.group_id, attempt.term, now_s):
+            # Another node may have taken over; the order would be refused.
+            return
         attempt.is_order_open = True
         self.board.effects.append(
             PromoteServer(
@@ -640,6 +644,7 @@
                 continue
             if result.start is None:
                 attempt.enter(Phase.CHOOSING, now_s)
+                attempt.asked_at_s = now_s - CHOOSE_WAIT_S + ASK_AGAIN_S
                 continue
             attempt.start = result.start
             attempt.enter(Phase.PUBLISHING, now_s)
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -19,7 +19,9 @@
 from pollencleat.core.effects import (
     FenceServer,
     FleetUpdated,
+    HoldServer,
     PromoteServer,
+    ReadServerStatus,
     ServerPromoted,
     ServerStatusRead,
     UpdateFleet,
@@ -270,6 +272,7 @@
         now_s = controller.attempts_by_group["g"].phase_since_s
         while now_s < end_s:
             now_s += 0.05
+            board.fresh_at_s = now_s
             controller.tick(now_s)
             controller.on_status_read(ServerStatusRead("n-1/1", "r", status), now_s)
         return kinds_of(board).count(PromoteServer)
@@ -279,6 +282,34 @@
     assert advance_until(17.0) == 2
 
 
+@pytest.mark.parametrize("is_platform_read", [True, False])
+def test_refused_orders_are_not_repeated_without_pause(is_platform_read):
+    """Regression (grown Volta, trouble-1): a node that had lost the platform held its
+    servers and ordered one to lead every 14 ms, each time refused, for 7 s."""
+    board, controller = begin_attempt_of("primary lost")
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), 10.2)
+    status = ServerStatus(7, 5, 5, 7, True, None)
+    now_s = controller.attempts_by_group["g"].phase_since_s
+    orders = []
+    while now_s < 15.0:
+        now_s += 0.01
+        if is_platform_read:
+            board.fresh_at_s = now_s
+        controller.tick(now_s)
+        effects, board.effects = board.effects, []
+        orders += [type(effect) for effect in effects]
+        for effect in effects:
+            if isinstance(effect, HoldServer | ReadServerStatus):
+                read = ServerStatusRead("n-1/1", effect.server_id, status)
+                controller.on_status_read(read, now_s)
+            if isinstance(effect, PromoteServer):
+                refused = ServerPromoted("n-1/1", effect.server_id, None)
+                controller.on_promoted(refused, now_s)
+    # Ten questions a second to each of two servers, and no order without a read.
+    assert len(orders) <= 4.8 * 10 * 3 + 3
+    assert (PromoteServer in orders) == is_platform_read
+
+
 def test_server_that_was_never_asked_is_not_silent():
     """Regression (grown Volta, quiet-1): nodes that are no gateways ask no server, and
     took each primary for lost."""
