Go on receiving when an announced message is gone

Change: the task goes on after any error of the socket or of a message, and records it. The answers to questions about keys are ours now: the library's own task blocked on its socket where a question was gone, and ended with the first unexpected error.

--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -15,7 +15,7 @@
 import zmq
 import zmq.asyncio
 import zmq.auth
-from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.auth.base import Authenticator
 
 from pollencleat.core.faults import FaultLog
 from pollencleat.core.messages import PeerMessage, decode_message, encode_message
@@ -45,6 +45,9 @@
 """A new connection whose handshake takes longer is tried anew; the library's own limit
 is 30 s.  Longer than a newcomer's key is looked for."""
 
+RECEIVE_AGAIN_S = 0.1
+"""Pause after a socket of the transport failed."""
+
 HEARTBEAT_MS = 500
 """Interval of the transport's own heartbeats; they find silent connections."""
 
@@ -95,8 +98,47 @@
         return False
 
 
-class RetryingAuthenticator(AsyncioAuthenticator):
-    """Asks refused clients to try again: a newcomer's key is known a little later."""
+class RetryingAuthenticator(Authenticator):
+    """Answers the library's questions about the keys of new connections.
+
+    Refused clients are asked to try again: a newcomer's key is known a little later.
+    """
+
+    def __init__(self, context: zmq.asyncio.Context, faults: FaultLog) -> None:
+        """Answer for the sockets of a context; start begins."""
+        super().__init__(context)
+        self._faults = faults
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to answer."""
+        super().start()
+        self._task = asyncio.get_running_loop().create_task(self._answer())
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+        super().stop()
+
+    async def _answer(self) -> None:
+        socket = zmq.asyncio.Socket.from_socket(self.zap_socket)
+        while True:
+            try:
+                question = await socket.recv_multipart()
+            except zmq.Again:
+                # The connection that was asked about has been reset.
+                continue
+            except zmq.ZMQError as error:
+                self._faults.record("questions about keys", error)
+                await asyncio.sleep(RECEIVE_AGAIN_S)
+                continue
+            try:
+                await self.handle_zap_message(question)
+            except Exception as error:
+                # A question without an answer would be the last one.
+                self._faults.record("key of a new connection", error)
+                self._send_zap_reply(question[1], ZAP_DENIED, b"failed")
 
     def _send_zap_reply(
         self,
@@ -142,7 +184,7 @@
         self._on_malformed = on_malformed
         self._clock = clock
         self._context = zmq.asyncio.Context()
-        self._authenticator: AsyncioAuthenticator | None = None
+        self._authenticator: RetryingAuthenticator | None = None
         self._listener: zmq.asyncio.Socket | None = None
         self._outgoing_by_address: dict[str, _Outgoing] = {}
         self._task: asyncio.Task | None = None
@@ -159,7 +201,7 @@
         Returns:
             The endpoint with its port.
         """
-        self._authenticator = RetryingAuthenticator(self._context)
+        self._authenticator = RetryingAuthenticator(self._context, self._faults)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             domain=ZAP_DOMAIN.decode(),
@@ -182,19 +224,37 @@
         return listener.getsockopt(zmq.LAST_ENDPOINT).decode().rstrip("\0")
 
     async def _receive(self) -> None:
+        """Take in messages; nothing that one of them does ends this."""
         while True:
-            payload = await self._listener.recv()
-            self.bytes_received += len(payload)
             try:
-                message = decode_message(payload)
-            except msgspec.MsgspecError:
-                self._on_malformed()
+                payload = await self._listener.recv()
+            except zmq.Again:
+                # The connection of a message that was announced has been reset.
                 continue
-            try:
-                self._on_message(message)
-            except Exception as error:
-                # What one message does must not make the node deaf to all others.
-                self._faults.record(f"message {type(message).__name__}", error)
+            except zmq.ZMQError as error:
+                if self._listener.closed:
+                    return
+                self._faults.record("receiving from peers", error)
+                await asyncio.sleep(RECEIVE_AGAIN_S)
+                continue
+            self.bytes_received += len(payload)
+            self._take(payload)
+
+    def _take(self, payload: bytes) -> None:
+        try:
+            message = decode_message(payload)
+        except msgspec.MsgspecError:
+            self._on_malformed()
+            return
+        except Exception as error:
+            self._on_malformed()
+            self._faults.record("decoding a message", error)
+            return
+        try:
+            self._on_message(message)
+        except Exception as error:
+            # What one message does must not make the node deaf to all others.
+            self._faults.record(f"message {type(message).__name__}", error)
 
     def send(self, address: str, message: PeerMessage, key: str = "") -> bool:
         """Send a message, or drop it if the peer does not take any.
