--- a/pollencleat/membership/beats_test.py
+++ b/pollencleat/membership/beats_test.py
@@ -24,8 +24,8 @@
 
 
 def test_new_state_is_asked_for_once_whoever_tells_of_it():
-    """Load pattern (grown Volta, trouble-1): after a cut each of 36 nodes heard of a new
-    fleet state from many peers, asked each of them, and each sent all of it."""
+    """Load pattern (grown Volta, trouble-1): after a cut, each of 36 nodes heard of a
+    new fleet state from many peers, asked each of them, and each sent all of it."""
     board, controller = make_controller()
     for number in range(20):
         controller.on_beat(make_beat(number, Versions(7, 1, 1)), 10.0 + 0.005 * number)
