--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -421,6 +421,38 @@
     assert (await client.query("READ before")).rows == ("up",)
 
 
+async def test_withdrawn_key_stays_out_after_a_restart_without_the_store():
+    """One of the operators' stories: after a restart of a process, a key that
+    had been withdrawn was in use again."""
+    cluster = PlatformCluster(3)
+    await cluster.start()
+    try:
+        gone = cluster.nodes.pop(2)
+        key = gone.board.public_key.encode()
+        await gone.stop()
+
+        async def is_withdrawn():
+            return not any(node._is_known_key(key) for node in cluster.nodes)
+
+        await wait_for(is_withdrawn)
+        cluster.store.faults.down = True
+        await cluster.nodes.pop(0).abandon()
+        restarted = await cluster.add_node(0)
+        other_key = cluster.nodes[0].board.public_key.encode()
+        await asyncio.sleep(1.5)
+        # Without the store it lets nobody in, and takes part in nothing.
+        assert not restarted._is_known_key(other_key)
+        assert await is_withdrawn()
+        assert not await cluster.try_write(1)
+        cluster.store.faults.down = False
+        await cluster.wait_until_writable()
+        assert restarted._is_known_key(other_key)
+        assert await is_withdrawn()
+    finally:
+        cluster.store.faults.down = False
+        await cluster.stop()
+
+
 async def test_lost_answers_of_the_store_do_not_stop_joining():
     cluster = PlatformCluster(3)
     cluster.store.faults.lose_answers = 0.5
