Order no replica without a recent read of the platform

Change: replicas are ordered under the same condition as the primary, or when the conditional publication was accepted. Test: fails before (FollowPrimary among the effects of a node without a read).

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -67,6 +67,7 @@
         is_order_open: A server has been ordered to lead, with no result yet.
         is_old_asked: The old primary has been asked whether it leads still.
         is_withdrawn: The old primary leads still and stays in office.
+        are_replicas_ordered: The others were told to follow the chosen server.
         crashed_at_s: Until when a member that cannot tell any more may have
             acknowledged commits.
     """
@@ -94,6 +95,7 @@
     is_order_open: bool = False
     is_old_asked: bool = False
     is_withdrawn: bool = False
+    are_replicas_ordered: bool = False
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Go on to a phase.
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -378,6 +378,7 @@
         if result.effect.purpose == PUBLISH_PURPOSE:
             self._publish_pending.clear()
         if result.version:
+            self._order_replicas_of_published(result)
             fleet = dataclasses.replace(result.effect.fleet, version=result.version)
             board.adopt_fleet(fleet, now_s)
             self._tell_members()
@@ -469,7 +470,7 @@
             if attempt.phase is Phase.PROMOTING:
                 self._advance_promoting(attempt, now_s)
             if attempt.phase is Phase.PUBLISHING:
-                self._advance_publishing(attempt)
+                self._advance_publishing(attempt, now_s)
 
     def _advance_stopping(self, attempt: Attempt, now_s: float) -> None:
         attempt.waiting_for -= {
@@ -583,7 +584,7 @@
         view.refused_at_s = None
         view.owing_since_s = now_s if view.open_requests else None
         attempt.enter(Phase.PUBLISHING, now_s)
-        self._advance_publishing(attempt)
+        self._advance_publishing(attempt, now_s)
 
     def _choose(self, attempt: Attempt, group: DatabaseGroup, now_s: float) -> None:
         server_ids = group.server_ids
@@ -659,7 +660,7 @@
             attempt.enter(Phase.PUBLISHING, now_s)
         self._advance_attempts(now_s)
 
-    def _advance_publishing(self, attempt: Attempt) -> None:
+    def _advance_publishing(self, attempt: Attempt, now_s: float) -> None:
         board = self.board
         if self._publish_pending:
             return
@@ -678,7 +679,8 @@
                     fleet, other.group_id, other.chosen, other.start
                 )
                 causes.append(f"{other.group_id}: {other.chosen} in term {other.term}")
-                self._order_replicas(other)
+                if may_name_primary(board, other.group_id, other.term, now_s):
+                    self._order_replicas(other)
             self._publish_pending.add(other.group_id)
             fleet = with_audit_entry(fleet, self._make_audit_entry(other))
         if not causes:
@@ -706,7 +708,20 @@
             and term.promotion.attempt_id == attempt.promotion.attempt_id
         )
 
+    def _order_replicas_of_published(self, result: FleetUpdated) -> None:
+        """Order the replicas whose orders rested on no recent read before."""
+        if result.effect.purpose != PUBLISH_PURPOSE:
+            return
+        for attempt in self.attempts_by_group.values():
+            published = result.effect.fleet.terms_by_group[attempt.group_id]
+            is_published = (
+                published.primary == attempt.chosen and published.promotion is None
+            )
+            if is_published and attempt.start and not attempt.are_replicas_ordered:
+                self._order_replicas(attempt)
+
     def _order_replicas(self, attempt: Attempt) -> None:
+        attempt.are_replicas_ordered = True
         group = self.board.inventory.groups_by_id[attempt.group_id]
         for server_id in group.server_ids:
             if server_id == attempt.chosen:
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -15,10 +15,12 @@
     Promotion,
     RemovedMember,
     ServerStatus,
+    TermStart,
 )
 from pollencleat.core.effects import (
     FenceServer,
     FleetUpdated,
+    FollowPrimary,
     HoldServer,
     PromoteServer,
     ReadServerStatus,
@@ -32,6 +34,7 @@
 from pollencleat.promotion.controller import (
     ASK_PEERS_S,
     FIRST_ASKERS,
+    PUBLISH_PURPOSE,
     RANK_DELAY_S,
     WARM_UP_S,
     PromotionController,
@@ -310,6 +313,41 @@
     assert (PromoteServer in orders) == is_platform_read
 
 
+def test_owner_without_a_recent_read_orders_no_replica_before_it_has_published():
+    """Regression (grown Volta, trouble-1; one of the operators' stories): a promoter
+    that had lost the platform went on ordering replicas, beside the one that had taken
+    its attempt over."""
+    board, controller = begin_attempt_of("primary lost")
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), 10.2)
+    status = ServerStatus(7, 5, 5, 7, True, None)
+    now_s = controller.attempts_by_group["g"].phase_since_s
+    board.fresh_at_s = now_s
+    while PromoteServer not in kinds_of(board):
+        now_s += 0.05
+        controller.tick(now_s)
+        for server_id in ("p", "r"):
+            read = ServerStatusRead("n-1/1", server_id, status)
+            controller.on_status_read(read, now_s)
+    now_s += 3.0
+    started = ServerPromoted("n-1/1", "r", TermStart(8, 5))
+    controller.on_promoted(started, now_s)
+    for _ in range(100):
+        now_s += 0.1
+        controller.tick(now_s)
+        for effect in [item for item in board.effects if is_publication(item)]:
+            board.effects.remove(effect)
+            controller.on_updated(FleetUpdated(effect, None), now_s)
+    assert FollowPrimary not in kinds_of(board)
+    controller.tick(now_s + 0.1)
+    effect = next(item for item in board.effects if is_publication(item))
+    controller.on_updated(FleetUpdated(effect, 9), now_s + 0.2)
+    assert FollowPrimary in kinds_of(board)
+
+
+def is_publication(effect):
+    return isinstance(effect, UpdateFleet) and effect.purpose == PUBLISH_PURPOSE
+
+
 def test_members_that_do_not_confirm_are_told_less_and_less_often():
     """Load pattern (grown Volta, trouble-1): the fleet state went to 35 members ten
     times a second, through a link of 5 Mbit/s; heartbeats and orders drowned in it."""
