Make the socket for questions about keys ourselves

Cause: the shadow of the library's blocking socket was not closed with it; in one process with many transports (tests) its descriptor came back for a caller's connection, which was then not read (test_node_without_permit_refuses_at_once, reset after 10 s; first failing by trying each). Also: one value for the parameters of a read. Test: that one, failed 5 of 5, passes.

--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -435,94 +435,73 @@
 
     async def _read_somewhere(self, route: Route, work: Work) -> Answer:
         """Try servers one after the other, or two at once, until one has answered."""
-        excluded: set[str] = set()
         self.access.second_tries.record_attempt()
-        started_s = self.access.clock()
-        deadline_s = started_s + route.statement_limit_ms / 1000
+        deadline_s = self.access.clock() + route.statement_limit_ms / 1000
+        read = _Read(route, work, deadline_s, set())
         while True:
-            target = self._choose(route, True, excluded)
-            excluded.add(target.server_id)
+            target = self._choose(route, True, read.tried)
+            read.tried.add(target.server_id)
             try:
-                return await self._read_patiently(
-                    target, excluded, route, work, deadline_s
-                )
+                return await self._read_patiently(read, target)
             except _NotRunHereError as error:
                 self._give_up_after(error.cause)
 
-    async def _read_patiently(
-        self,
-        target: Target,
-        excluded: set[str],
-        route: Route,
-        work: Work,
-        deadline_s: float,
-    ) -> Answer:
+    async def _read_patiently(self, read: "_Read", target: Target) -> Answer:
         """Read at a server, and at another one too if that takes its time."""
 
         def read_at_other() -> asyncio.Task[Answer] | None:
-            other = self._find_second(route, excluded)
+            other = self._find_second(read)
             if other is None:
                 return None
             self.access.metrics.count("read_asked_again", target.server_id)
-            reading = self._read_at_second(
-                other, target, excluded, route, work, deadline_s
-            )
+            reading = self._read_at_second(read, other, target)
             return asyncio.get_running_loop().create_task(reading)
 
         patience_s = second_try_after_s(
-            route.latency_objective_ms / 1000, deadline_s - self.access.clock()
-        )
-        return await answer_of_either(
-            self._read_at(target, route, work, deadline_s), patience_s, read_at_other
+            read.route.latency_objective_ms / 1000,
+            read.deadline_s - self.access.clock(),
         )
+        reading = self._read_at(read, target)
+        return await answer_of_either(reading, patience_s, read_at_other)
 
-    def _find_second(self, route: Route, excluded: set[str]) -> Target | None:
+    def _find_second(self, read: "_Read") -> Target | None:
         """Return another server for a read, if there is one that the budget allows."""
         if self._trace.tries >= TRIES:
             return None
-        other = self._find_for_read(route, excluded)
+        other = self._find_for_read(read.route, read.tried)
         if other is None or other.server_id not in self.access.pools.pools_by_server:
             return None
         if not self.access.second_tries.take():
             return None
-        excluded.add(other.server_id)
+        read.tried.add(other.server_id)
         self._trace.tries += 1
         return other
 
     async def _read_at_second(
-        self,
-        target: Target,
-        late: Target,
-        excluded: set[str],
-        route: Route,
-        work: Work,
-        deadline_s: float,
+        self, read: "_Read", target: Target, late: Target
     ) -> Answer:
-        answer = await self._read_patiently(target, excluded, route, work, deadline_s)
+        answer = await self._read_patiently(read, target)
         if self.access.is_at_gateways(late.server_id):
             self.access.note_gateway_read(late.server_id, False)
         return answer
 
-    async def _read_at(
-        self, target: Target, route: Route, work: Work, deadline_s: float
-    ) -> Answer:
+    async def _read_at(self, read: "_Read", target: Target) -> Answer:
         if self.access.is_at_gateways(target.server_id):
-            answer = await self._read_at_gateway(target, route, work, deadline_s)
+            answer = await self._read_at_gateway(read, target)
         else:
-            lease = await self._borrow(target, route, True)
-            answer = await self._read_on(lease, target, route, work, deadline_s)
+            lease = await self._borrow(target, read.route, True)
+            answer = await self._read_on(lease, read, target)
         self._note_target(target)
         return answer
 
-    async def _read_on(
-        self, lease: Lease, target: Target, route: Route, work: Work, deadline_s: float
-    ) -> Answer:
+    async def _read_on(self, lease: Lease, read: "_Read", target: Target) -> Answer:
+        route = read.route
         lease.is_read = True
         reusable = False
         known = self.access.newest_position(target.term)
-        limit_s = deadline_s - self.access.clock()
+        limit_s = read.deadline_s - self.access.clock()
         try:
-            reply = await self._run(lease, work, target.at_least, limit_s, route)
+            reply = await self._run(lease, read.work, target.at_least, limit_s, route)
             reusable = not reply.in_transaction
         except TimeoutError as error:
             raise StatementTimeoutError(
@@ -536,9 +515,8 @@
             lease.give_back(reusable)
         return self._read_answer(target, reply, known, route)
 
-    async def _read_at_gateway(
-        self, target: Target, route: Route, work: Work, deadline_s: float
-    ) -> Answer:
+    async def _read_at_gateway(self, read: "_Read", target: Target) -> Answer:
+        route, work, deadline_s = read.route, read.work, read.deadline_s
         known = self.access.newest_position(target.term)
         shape = None
         if work.prepared_name:
@@ -777,6 +755,21 @@
         return NoReplicaError(detail, RETRY_AFTER_MS)
 
 
+@dataclass(frozen=True, slots=True)
+class _Read:
+    """A read that belongs to no transaction.
+
+    Attributes:
+        deadline_s: Local time at which its limit is over.
+        tried: Servers that have been asked.
+    """
+
+    route: Route
+    work: Work
+    deadline_s: float
+    tried: set[str]
+
+
 class _NotRunHereError(PollencleatError):
     """The statement may be tried on another server.
 
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -31,6 +31,9 @@
 IDLE_CLOSE_S = 30.0
 HANDSHAKE_LIMIT_MS = 3_000
 ZAP_DOMAIN = b"pollencleat"
+ZAP_ENDPOINT = "inproc://zeromq.zap.01"
+"""Where the library asks about keys (RFC 27)."""
+
 ZAP_DENIED = b"400"
 ZAP_TRY_AGAIN = b"300"
 UNKNOWN_KEY_LOOKS = 8
@@ -116,7 +119,10 @@
 
     def start(self) -> None:
         """Begin to answer."""
-        super().start()
+        # The library's own start makes a socket that blocks.
+        self.zap_socket = self.context.socket(zmq.REP)
+        self.zap_socket.linger = 0
+        self.zap_socket.bind(ZAP_ENDPOINT)
         self._task = asyncio.get_running_loop().create_task(self._answer())
 
     def stop(self) -> None:
@@ -126,10 +132,9 @@
         super().stop()
 
     async def _answer(self) -> None:
-        socket = zmq.asyncio.Socket.from_socket(self.zap_socket)
         while True:
             try:
-                question = await socket.recv_multipart()
+                question = await self.zap_socket.recv_multipart()
             except zmq.Again:
                 # The connection that was asked about has been reset.
                 continue
