Start: load what the first statement does not need after it

Ruled out: a lazy import of aiohttp, since the first call to the store needs it. Change: the users' platform is spoken to by a small HTTP client and server on httptools; its settings file is checked by msgspec, field by field; the exporter is loaded at the first scrape, with the samples of before.

--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -146,7 +146,7 @@
         self.listener = SessionListener(
             self.access, ClientConnection, MAX_LINE_BYTES, self.faults
         )
-        self.endpoints = HttpEndpoints()
+        self.endpoints = HttpEndpoints(self.metrics, self.faults)
         self._idle_check: asyncio.Task | None = None
         self._was_ready = False
         self._unready_since_s = 0.0
@@ -176,9 +176,7 @@
         self.ready_port = await self.endpoints.serve_readiness(
             settings.readiness.host, settings.readiness.port, self._is_ready
         )
-        await self.endpoints.serve_metrics(
-            settings.host, settings.admin_port, self.metrics
-        )
+        await self.endpoints.serve_metrics(settings.host, settings.admin_port)
         self.stop_hooks.append(self.endpoints.close)
         await self.listener.start(settings.callers.host, settings.callers.port)
         self._subscribe()
--- a/pollencleat/platform/endpoints.py
+++ b/pollencleat/platform/endpoints.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from aiohttp import web
-
+from pollencleat.core.faults import ErrorRecorder
 from pollencleat.reports.metrics import Metrics
+from pollencleat.web.server import OK, SERVICE_UNAVAILABLE, HttpAnswer, HttpServer
 
 READY_PATH = "/api/readiness"
 METRICS_PATH = "/metrics"
@@ -13,9 +13,16 @@
 class HttpEndpoints:
     """Runs the HTTP servers of one process."""
 
-    def __init__(self) -> None:
-        """Start without servers."""
-        self._runners: list[web.AppRunner] = []
+    def __init__(self, metrics: Metrics, faults: ErrorRecorder) -> None:
+        """Start without servers.
+
+        Args:
+            metrics: The metrics to serve; malformed requests are counted there.
+            faults: Records unexpected errors.
+        """
+        self._metrics = metrics
+        self._faults = faults
+        self._servers: list[HttpServer] = []
 
     async def serve_readiness(
         self, host: str, port: int, is_ready: Callable[[], bool]
@@ -31,35 +38,37 @@
             The port that is listened on.
         """
 
-        async def handle(request: web.Request) -> web.Response:
-            return web.Response(status=200 if is_ready() else 503)
+        def handle() -> HttpAnswer:
+            return HttpAnswer(OK if is_ready() else SERVICE_UNAVAILABLE)
 
         return await self._serve(host, port, READY_PATH, handle)
 
-    async def serve_metrics(self, host: str, port: int, metrics: Metrics) -> None:
+    async def serve_metrics(self, host: str, port: int) -> int:
         """Serve all metrics in text format for scrapers.
 
         Args:
             host: Address to listen on.
-            port: Port to listen on.
-            metrics: The metrics to render.
-        """
-
-        async def handle(request: web.Request) -> web.Response:
-            return web.Response(body=metrics.render(), content_type="text/plain")
+            port: Port to listen on; 0 picks a free one.
 
-        await self._serve(host, port, METRICS_PATH, handle)
+        Returns:
+            The port that is listened on.
+        """
+        return await self._serve(
+            host, port, METRICS_PATH, lambda: HttpAnswer(OK, self._metrics.render())
+        )
 
-    async def _serve(self, host: str, port: int, path: str, handle: Callable) -> int:
-        app = web.Application()
-        app.router.add_get(path, handle)
-        runner = web.AppRunner(app, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, host, port).start()
-        self._runners.append(runner)
-        return runner.addresses[0][1]
+    async def _serve(
+        self, host: str, port: int, path: str, handle: Callable[[], HttpAnswer]
+    ) -> int:
+        server = HttpServer(
+            {path: handle},
+            lambda failed_path, error: self._faults.record(failed_path, error),
+            lambda: self._metrics.count("http_request_malformed"),
+        )
+        self._servers.append(server)
+        return await server.start(host, port)
 
     async def close(self) -> None:
         """Stop listening."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for server in self._servers:
+            server.close()
--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -5,8 +5,8 @@
 """
 
 from dataclasses import dataclass
+from urllib.parse import quote, urlencode
 
-import aiohttp
 import msgspec
 import structlog
 
@@ -16,6 +16,7 @@
     StoreUnavailableError,
 )
 from pollencleat.platform.settings import Endpoint
+from pollencleat.web.client import HttpClient, HttpError
 
 CALL_TIMEOUT_S = 1.0
 """Timeout of a call; a healthy store answers within milliseconds."""
@@ -23,6 +24,8 @@
 WATCH_MARGIN_S = 0.7
 """How long after the requested wait the answer to a watch may arrive."""
 
+OBJECTS_PATH = "/api/objects"
+
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
@@ -101,14 +104,12 @@
 
     def __init__(self, address: Endpoint) -> None:
         """Use the store at an address."""
-        self._url = f"http://{address}/api/objects"
-        self._session: aiohttp.ClientSession | None = None
+        self._http = HttpClient(address.host, address.port)
         self.calls = 0
 
     async def close(self) -> None:
-        """Close the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
+        """Close all connections."""
+        self._http.close()
 
     async def read_object(self, kind: str, name: str) -> StoredObject | None:
         """Read an object; reads are linearizable.
@@ -223,7 +224,7 @@
         return await self._change("PUT", f"/{kind}/{name}", body)
 
     async def _change(self, method: str, path: str, body: Json) -> int:
-        status, answer = await self._call(method, path, json=body)
+        status, answer = await self._call(method, path, body=body)
         if status in (CONFLICT, NOT_FOUND):
             raise StoreConflictError(f"{method} {path}: status {status}")
         return _decode(answer, StoredObject).meta.revision
@@ -233,25 +234,21 @@
         method: str,
         path: str,
         timeout_s: float = CALL_TIMEOUT_S,
-        **options: object,
+        params: dict[str, str] | None = None,
+        body: Json = None,
     ) -> tuple[int, bytes]:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
-            self._session = aiohttp.ClientSession(connector=connector)
         self.calls += 1
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        url = OBJECTS_PATH + quote(path)
+        if params:
+            url += "?" + urlencode(params)
+        content = b"" if body is None else msgspec.json.encode(body)
         try:
-            async with self._session.request(
-                method, self._url + path, timeout=timeout, **options
-            ) as response:
-                body = await response.read()
-                status = response.status
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            text = str(error) or type(error).__name__
-            raise StoreUnavailableError(f"{method} {path}: {text}") from error
-        if status not in (OK, CREATED, NOT_FOUND, CONFLICT, GONE):
-            raise StoreUnavailableError(f"{method} {path}: status {status}")
-        return status, body
+            response = await self._http.request(method, url, timeout_s, content)
+        except HttpError as error:
+            raise StoreUnavailableError(f"{method} {path}: {error}") from error
+        if response.status not in (OK, CREATED, NOT_FOUND, CONFLICT, GONE):
+            raise StoreUnavailableError(f"{method} {path}: status {response.status}")
+        return response.status, response.body
 
 
 def _decode(body: bytes, kind: type) -> object:
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import aiohttp
+import msgspec
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, ServerStatus, TermStart
@@ -11,6 +11,7 @@
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import Endpoint
+from pollencleat.web.client import HttpClient, HttpError
 
 COMMAND_TIMEOUT_S = 0.6
 """Timeout of a command to a server, connecting included."""
@@ -29,6 +30,8 @@
 STATUS_POLL_INTERVAL_S = 0.03
 """Seconds between two status reads while a server becomes primary."""
 
+PROMOTION_PATH = "/promotion"
+
 HTTP_OK = 200
 
 
@@ -55,12 +58,11 @@
         self._may_keep_open = may_keep_open
         self._board = board
         self._is_current_promoter = is_current_promoter
-        self._promotion_url = f"http://{promotion}/promotion"
+        self._promotion_service = HttpClient(promotion.host, promotion.port)
         self._connections_by_server: dict[str, ServerConnection] = {}
         self._connected_servers_by_id: dict[str, BackendServer] = {}
         self._last_used_s_by_server: dict[str, float] = {}
         self._locks_by_server: dict[str, asyncio.Lock] = {}
-        self._session: aiohttp.ClientSession | None = None
 
     async def read_status(self, server_id: str) -> ServerStatus:
         """Read a server's replication status."""
@@ -111,23 +113,18 @@
 
     async def _request_promotion(self, server_id: str, fence: int) -> None:
         server = self._registered_server(server_id)
-        if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=PROMOTION_CALL_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
         headers = {"Duty-Holder": self._board.node_id, "Fencing-Token": str(fence)}
-        body = {"service": server.group_id, "id": server_id}
+        body = msgspec.json.encode({"service": server.group_id, "id": server_id})
         if not self._is_current_promoter(server.group_id, fence):
             raise BackendError(f"promotion attempt {fence} may have been superseded")
         try:
-            async with self._session.post(
-                self._promotion_url, json=body, headers=headers
-            ) as response:
-                if response.status != HTTP_OK:
-                    raise BackendError(
-                        f"promotion refused: HTTP status {response.status}"
-                    )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            response = await self._promotion_service.request(
+                "POST", PROMOTION_PATH, PROMOTION_CALL_TIMEOUT_S, body, headers
+            )
+        except HttpError as error:
             raise BackendError(f"no answer to the promotion call: {error}") from error
+        if response.status != HTTP_OK:
+            raise BackendError(f"promotion refused: HTTP status {response.status}")
 
     async def follow(self, server_id: str, primary_id: str, term: int) -> None:
         """Resume replication on a server; a primary of an older term is fenced."""
@@ -192,8 +189,7 @@
         """Close all connections."""
         for connection in self._connections_by_server.values():
             connection.close()
-        if self._session is not None:
-            await self._session.close()
+        self._promotion_service.close()
 
 
 async def _with_timeout(
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -1,10 +1,9 @@
 """Reads and validates the settings file that the platform provides."""
 
-import json
 from dataclasses import dataclass
 from pathlib import Path
 
-import pydantic
+import msgspec
 
 from pollencleat.core.errors import LocatedError, SettingsError
 
@@ -44,20 +43,22 @@
     grace_s: float
 
 
-class _Bounds(pydantic.BaseModel):
+class _Bounds(msgspec.Struct):
     grace_period_s: float
 
 
-class _Listen(pydantic.BaseModel):
+class _Listen(msgspec.Struct):
     frontend_address: str
     ready: str
 
 
-class _Service(pydantic.BaseModel):
+class _Service(msgspec.Struct):
     address: str
 
 
-class _BootFile(pydantic.BaseModel):
+class _BootFile(msgspec.Struct):
+    """The fields of the settings file that are used; others are ignored."""
+
     node_name: str
     ip: str
     zone: str
@@ -82,10 +83,16 @@
             location.
     """
     try:
-        boot = _BootFile.model_validate(json.loads(path.read_text()))
-        return _make_settings(boot)
+        content = msgspec.json.decode(path.read_bytes())
     except (OSError, ValueError) as error:
-        raise SettingsError(_locate_problems(path, error)) from error
+        raise SettingsError([_make_problem(path, "", "", str(error))]) from error
+    problems = _find_problems(path, "", _BootFile, content)
+    if problems:
+        raise SettingsError(problems)
+    try:
+        return _make_settings(msgspec.convert(content, _BootFile))
+    except ValueError as error:
+        raise SettingsError([_make_problem(path, "", "", str(error))]) from error
 
 
 def _make_settings(boot: _BootFile) -> PlatformSettings:
@@ -104,20 +111,31 @@
     )
 
 
-def _locate_problems(path: Path, error: Exception) -> list[LocatedError]:
-    if not isinstance(error, pydantic.ValidationError):
-        return [LocatedError(str(path), 0, "", "", str(error), "a JSON settings file")]
-    return [
-        LocatedError(
-            str(path),
-            0,
-            ".".join(str(part) for part in problem["loc"][:-1]),
-            str(problem["loc"][-1]) if problem["loc"] else "",
-            problem["msg"],
-            problem["type"],
-        )
-        for problem in error.errors()
-    ]
+def _find_problems(
+    path: Path, section: str, kind: type[msgspec.Struct], content: object
+) -> list[LocatedError]:
+    """Check each field by itself, so that one problem does not hide another."""
+    if not isinstance(content, dict):
+        return [_make_problem(path, section, "", "expected a JSON object")]
+    problems = []
+    for field in msgspec.structs.fields(kind):
+        if field.name not in content:
+            problem = _make_problem(path, section, field.name, "the field is missing")
+            problems.append(problem)
+            continue
+        value = content[field.name]
+        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            problems.extend(_find_problems(path, field.name, field.type, value))
+            continue
+        try:
+            msgspec.convert(value, field.type)
+        except msgspec.ValidationError as error:
+            problems.append(_make_problem(path, section, field.name, str(error)))
+    return problems
+
+
+def _make_problem(path: Path, section: str, key: str, text: str) -> LocatedError:
+    return LocatedError(str(path), 0, section, key, text, "a JSON settings file")
 
 
 def parse_endpoint(text: str) -> Endpoint:
--- a/pollencleat/reports/metrics.py
+++ b/pollencleat/reports/metrics.py
@@ -1,23 +1,26 @@
-"""Counters and histograms, exported by OpenTelemetry.
+"""Counters and samples of one process.
 
 Counters are plain integers that are read at each scrape, so that counting an event
-while a statement is processed costs no more than an addition.
+while a statement is processed costs no more than an addition.  The exporter is loaded
+at the first scrape: its libraries take longer to import than a process takes to begin
+to serve, and a process that was just started has nothing to report.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import ExplicitBucketHistogramAggregation, View
-from prometheus_client import CollectorRegistry, generate_latest
+if TYPE_CHECKING:
+    from pollencleat.reports.exporter import MetricsExporter
 
 DURATION_SAMPLE_INTERVAL = 16
 """One statement in this many is recorded, since recording a duration costs a fifth of
 what a statement costs."""
 
-DURATION_BUCKETS_MS = (0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+MAX_WAITING_SAMPLES = 4096
+"""Newest duration samples that are kept for the first scrape."""
+
+GaugeReader = Callable[[], Iterable[tuple[float, dict[str, str]]]]
 
 
 class Metrics:
@@ -25,31 +28,19 @@
 
     Attributes:
         counts: Counters by name and detail.
-        registry: The Prometheus registry that ``render`` exports.
+        gauges_by_name: Returns pairs of a value and its labels for each gauge.
     """
 
     def __init__(self, node_id: str) -> None:
-        """Create the meter; event counters carry the node id as a label."""
+        """Start empty; event counters carry the node id as a label."""
+        self.node_id = node_id
         self.counts: Counter[tuple[str, str]] = Counter()
-        self.registry = CollectorRegistry()
-        reader = PrometheusMetricReader(registry=self.registry)
-        view = View(
-            instrument_name="pollencleat.statement.duration",
-            aggregation=ExplicitBucketHistogramAggregation(DURATION_BUCKETS_MS),
-        )
-        provider = MeterProvider(metric_readers=[reader], views=[view])
-        self._provider = provider
-        self._meter = provider.get_meter("pollencleat")
-        self._meter.create_observable_counter(
-            "pollencleat.events",
-            callbacks=[self._observe_counts],
-            description="Events by name and detail",
-        )
-        self._durations = self._meter.create_histogram(
-            "pollencleat.statement.duration", unit="ms"
+        self.gauges_by_name: dict[str, GaugeReader] = {}
+        self._exporter: MetricsExporter | None = None
+        self._waiting_samples: deque[tuple[str, float]] = deque(
+            maxlen=MAX_WAITING_SAMPLES
         )
         self._statements_until_sample = DURATION_SAMPLE_INTERVAL
-        self._node_id = node_id
 
     def count(self, name: str, detail: str = "", amount: int = 1) -> None:
         """Count an event.
@@ -72,22 +63,21 @@
         if self._statements_until_sample:
             return
         self._statements_until_sample = DURATION_SAMPLE_INTERVAL
-        self._durations.record(duration_ms, {"action": action})
+        if self._exporter is None:
+            self._waiting_samples.append((action, duration_ms))
+        else:
+            self._exporter.record_duration(action, duration_ms)
 
-    def add_gauge(
-        self, name: str, read: Callable[[], Iterable[tuple[float, dict[str, str]]]]
-    ) -> None:
+    def add_gauge(self, name: str, read: GaugeReader) -> None:
         """Export a gauge whose values are read at each scrape.
 
+        Gauges are added before the first scrape.
+
         Args:
             name: Name of the gauge.
             read: Returns pairs of a value and its labels.
         """
-
-        def observe(options: CallbackOptions) -> Iterable[Observation]:
-            return [Observation(value, labels) for value, labels in read()]
-
-        self._meter.create_observable_gauge(name, callbacks=[observe])
+        self.gauges_by_name[name] = read
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format.
@@ -95,16 +85,16 @@
         Returns:
             The encoded text.
         """
-        return generate_latest(self.registry)
+        if self._exporter is None:
+            from pollencleat.reports.exporter import MetricsExporter
+
+            self._exporter = MetricsExporter(self)
+            for action, duration_ms in self._waiting_samples:
+                self._exporter.record_duration(action, duration_ms)
+            self._waiting_samples.clear()
+        return self._exporter.render()
 
     def close(self) -> None:
-        """Shut down the meter provider."""
-        self._provider.shutdown()
-
-    def _observe_counts(self, options: CallbackOptions) -> Iterable[Observation]:
-        return [
-            Observation(
-                amount, {"event": name, "detail": detail, "node": self._node_id}
-            )
-            for (name, detail), amount in self.counts.items()
-        ]
+        """Shut down the exporter if it was loaded."""
+        if self._exporter is not None:
+            self._exporter.close()
