Reads: a bound of their age from the positions of replicas

Ruled out: holding the replicas when a promotion begins. Built and tested, not kept: a node that has not learned of the promotion yet could let a held replica follow again, a restarted replica is held no more, and both need rules and messages of their own. Change: routing/replica_positions.py. A commit that k replicas must acknowledge is in k + 1 logs, so the positions of all servers but k bound every commit that was acknowledged before they were asked for: no order, no permit, no term. A server that may have lost its log does not count. Asked only while reads want it and the primary gives nothing.

--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -215,6 +215,7 @@
         resigning: This node is leaving the fleet.
         draining: This node accepts no new work because it is stopping.
         bounds_by_group: Bounds of the acknowledged log positions.
+        bound_wanted_at_s: When a read last wanted a bound of its age, by group.
         outbox: Messages to be sent to peers.
         wall_clock_s: Unix time for audit entries; no decision depends on it.
         effects: Effects to be carried out by the adapters.
@@ -252,6 +253,7 @@
     servers_by_id: dict[str, ServerView] = field(default_factory=dict)
     primary_samples_by_group: dict[str, PrimarySamples] = field(default_factory=dict)
     bounds_by_group: dict[str, AcknowledgedBounds] = field(default_factory=dict)
+    bound_wanted_at_s: dict[str, float] = field(default_factory=dict)
     outbox: list[Envelope] = field(default_factory=list)
     wall_clock_s: int = 0
     effects: list[Effect] = field(default_factory=list)
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -53,6 +53,7 @@
 from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import is_current_promoter
 from pollencleat.reports.logs import NonBlockingOutput
+from pollencleat.routing.replica_positions import ReplicaPositionController
 
 BOARD_TICK_S = 0.1
 """Interval at which changes of the blackboard are applied."""
@@ -121,6 +122,9 @@
             self.board, self.orders, self.access.servers_to_probe, read_boottime_s
         )
         self.access.probe_server = self.liveness.probe_now
+        self.replica_positions = ReplicaPositionController(
+            self.board, self.access.request_probe
+        )
         self.borrower = HopBorrower(
             self.board,
             self.send_to,
@@ -197,7 +201,7 @@
 
     def _subscribe(self) -> None:
         self.timers.subscribe(BOARD_TICK_S, self._follow_board)
-        self.timers.subscribe(LIVENESS_TICK_S, self.liveness.tick)
+        self.timers.subscribe(LIVENESS_TICK_S, self._check_servers)
         self.timers.subscribe(IDLE_CHECK_S, self._check_idle)
         self.timers.subscribe(LEASES_TICK_S, self._follow_leases)
         self.timers.subscribe(CLOSE_UNUSED_TICK_S, self.transport.close_unused)
@@ -205,6 +209,10 @@
             CLOSE_ORDERS_TICK_S, lambda: self.orders.close_unused(read_boottime_s())
         )
 
+    def _check_servers(self) -> None:
+        self.replica_positions.tick(read_boottime_s())
+        self.liveness.tick()
+
     def _follow_leases(self) -> None:
         self.borrower.tick()
         self.lender.tick()
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -12,7 +12,7 @@
 
 from pollencleat.backend.pool import Lease
 from pollencleat.core.bounds import is_before
-from pollencleat.core.data import Position, Route
+from pollencleat.core.data import Freshness, Position, Route
 from pollencleat.core.errors import (
     BackendError,
     BackendLostError,
@@ -740,13 +740,16 @@
         self._trace.term = target.term.term if target.term is not None else 0
 
     def _find_read_target(self, route: Route, excluded: set[str]) -> Target | None:
+        now_s = self.access.clock()
+        if route.freshness is not Freshness.PRIMARY:
+            self.access.board.bound_wanted_at_s[route.group_id] = now_s
         return choose_for_read(
             self.access.board,
             route,
             self.session.seen_by_group.get(route.group_id),
             self.access.pools.outstanding,
             excluded,
-            self.access.clock(),
+            now_s,
         )
 
     def _require_attempts_left(self, error: CallerError) -> None:
--- /dev/null
+++ b/pollencleat/routing/replica_positions.py
@@ -0,0 +1,168 @@
+"""Bounds of acknowledged commits from the positions of replicas.
+
+Load pattern: a primary is lost, cut off or about to be replaced.  Its answers were the
+only proof of how old a replica's data is, so reads that a replica could serve are
+refused from one age limit after its last answer until the next primary answers: longer
+than all other steps of the change together.
+
+Where a commit needs k replicas before it is acknowledged, it is in the logs of at
+least k + 1 servers.  If all servers but k report their positions, one of them has every
+commit that was acknowledged before the first of these requests was sent.  None lies
+beyond the highest of the positions, whichever server leads and whether or not a
+promotion is in progress.  A server that restarted may have lost its log and does not
+count until it has had time to receive it again.
+
+The requests occupy slots, so they are sent only while reads want a bound and the
+primary gives none.
+"""
+
+from collections.abc import Callable
+
+from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.bounds import AcknowledgedBounds, is_before
+from pollencleat.core.data import DatabaseGroup, Position
+from pollencleat.limits.shares import connections_allowed
+from pollencleat.membership.permits import writable_term
+
+BOUND_WANTED_S = 1.0
+"""Seconds after a read wanted a newer bound for which one is collected."""
+
+MIN_BOUND_AGE_S = 0.4
+"""Age in seconds from which a bound is worth renewing; a primary that answers gives
+newer ones with ordinary replies."""
+
+STATUS_INTERVAL_S = 0.25
+"""Seconds between two status requests to a server."""
+
+PRIMARY_SILENT_S = 0.25
+"""Seconds without an answer after which a primary is not expected to give bounds."""
+
+STATUS_VALID_S = 1.0
+"""Seconds for which a status counts, from when it was requested."""
+
+LOG_RECOVERY_S = 3.0
+"""Seconds after a possible restart within which a server may lack commits that it had
+received before."""
+
+
+class ReplicaPositionController:
+    """Collects the positions of replicas for groups whose reads lack a bound."""
+
+    def __init__(self, board: Blackboard, request_probe: Callable[[str], None]) -> None:
+        """Create a controller.
+
+        Args:
+            board: The node's state.
+            request_probe: Has the status of a server with the given id read soon.
+        """
+        self._board = board
+        self._request_probe = request_probe
+        # Start time of each registered server, and when this node learned of it.
+        self._known_since: dict[str, tuple[int, float]] = {}
+        self._received_by_server: dict[str, Position] = {}
+
+    def tick(self, now_s: float) -> None:
+        """Request the statuses that are needed, and record the bounds that they give.
+
+        Args:
+            now_s: Local time.
+        """
+        board = self._board
+        self._note_registered_servers(now_s)
+        for group_id, group in board.inventory.groups_by_id.items():
+            if not group.acknowledging_replicas:
+                continue
+            if not is_bound_wanted(board, group_id, now_s):
+                continue
+            self._request_statuses(group, now_s)
+            self._record_bound(group, now_s)
+
+    def _request_statuses(self, group: DatabaseGroup, now_s: float) -> None:
+        board = self._board
+        for server_id in group.server_ids:
+            asked_ago_s = now_s - board.server_view(server_id).status_sent_at_s
+            if asked_ago_s < STATUS_INTERVAL_S:
+                continue
+            if connections_allowed(board, server_id) > 0:
+                self._request_probe(server_id)
+
+    def _note_registered_servers(self, now_s: float) -> None:
+        servers_by_id = self._board.inventory.servers_by_id
+        for server_id, server in servers_by_id.items():
+            known = self._known_since.get(server_id)
+            if known is None or known[0] != server.born_ms:
+                self._known_since[server_id] = (server.born_ms, now_s)
+        for server_id in set(self._known_since) - set(servers_by_id):
+            del self._known_since[server_id]
+            self._received_by_server.pop(server_id, None)
+
+    def _record_bound(self, group: DatabaseGroup, now_s: float) -> None:
+        board = self._board
+        term = board.group_term(group.group_id)
+        if term is None:
+            return
+        needed = self._count_needed(group)
+        counted = []
+        for server_id in group.server_ids:
+            view = board.server_view(server_id)
+            if self._counts(server_id, view, now_s):
+                counted.append(view)
+        if needed <= 0 or len(counted) < needed:
+            return
+        counted.sort(key=lambda view: view.status_sent_at_s, reverse=True)
+        positions = [received_position(view) for view in counted]
+        highest = max(positions, key=lambda item: (item.term, item.position))
+        bounds = board.bounds_by_group.setdefault(group.group_id, AcknowledgedBounds())
+        bounds.add(term.term, counted[needed - 1].status_sent_at_s, highest)
+
+    def _count_needed(self, group: DatabaseGroup) -> int:
+        """Return how many servers must report; lapsed ones may still hold commits."""
+        lapsed = self._board.vms.lapsed_by_group.get(group.group_id, ())
+        return len({*group.server_ids, *lapsed}) - group.acknowledging_replicas
+
+    def _counts(self, server_id: str, view: ServerView, now_s: float) -> bool:
+        """Return whether a server's log certainly has all that it ever received."""
+        if view.status is None or now_s - view.status_sent_at_s > STATUS_VALID_S:
+            return False
+        if view.status_sent_at_s - view.restart_suspected_at_s < LOG_RECOVERY_S:
+            return False
+        if now_s - self._known_since[server_id][1] < LOG_RECOVERY_S:
+            return False
+        received = received_position(view)
+        known = self._received_by_server.get(server_id, received)
+        if view.applied is not None and is_before(known, view.applied):
+            known = view.applied
+        if is_before(received, known):
+            return False
+        self._received_by_server[server_id] = received
+        return True
+
+
+def received_position(view: ServerView) -> Position:
+    """Return the log position that a server reported as received in its status."""
+    return Position(view.status.last_entry_term, view.status.received_position)
+
+
+def is_bound_wanted(board: Blackboard, group_id: str, now_s: float) -> bool:
+    """Return whether reads of a group want a newer bound than the primary gives.
+
+    Args:
+        board: The node's state.
+        group_id: The group.
+        now_s: Local time.
+
+    Returns:
+        True if reads wanted a bound lately, the newest one is old, and the primary is
+        not known to answer this node.
+    """
+    wanted_at_s = board.bound_wanted_at_s.get(group_id)
+    if wanted_at_s is None or now_s - wanted_at_s > BOUND_WANTED_S:
+        return False
+    bounds = board.bounds_by_group.get(group_id)
+    newest_at_s = bounds.entries[-1][0] if bounds and bounds.entries else -1e9
+    if now_s - newest_at_s <= MIN_BOUND_AGE_S:
+        return False
+    term = writable_term(board, group_id, now_s)
+    if term is None:
+        return True
+    return board.server_view(term.primary).unanswered_for_s(now_s) > PRIMARY_SILENT_S
