A store that comes back from an older copy

Cause: versions were taken to never go back. Ruled out: treating a restore as the loss of all memory (15 s without writes); comparing the nodes' copies alone (a node that knows more may be cut off). Change: a version is era and revision in one number; the fleet state names its era and is unsettled in any other; one conditional update settles it with the union of what members, store and servers show; terms of a new era begin above all others; watches list anew. On the stand-ins: a restore in calm times costs no read, and no write later than a second after the store answers (bench/platform_path_test.py).

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -499,3 +499,94 @@
     node = await cluster.add_node(2)
     client = await LineClient.connect(node.listener.port, "main-db")
     assert not (await client.query("WRITE k early")).error
+
+
+async def test_a_restore_in_calm_times_costs_reads_nothing_and_writes_little(cluster):
+    """The store comes back from a copy of some seconds ago while callers go on."""
+    cluster.store.take_copy()
+    await cluster.add_node(2)
+    await cluster.wait_until_writable()
+    reader = await cluster.connect("old-db", 0)
+    loop = asyncio.get_running_loop()
+    failed_reads, write_failures_at_s = [], []
+    stop = asyncio.Event()
+
+    async def read_on():
+        while not stop.is_set():
+            answer = await reader.query("READ warm")
+            if answer.error:
+                failed_reads.append(answer)
+            await asyncio.sleep(0.02)
+
+    async def write_on(number):
+        while not stop.is_set():
+            if not await cluster.try_write(number, f"k{number}"):
+                write_failures_at_s.append(loop.time())
+            await asyncio.sleep(0.02)
+
+    tasks = [asyncio.create_task(read_on())]
+    tasks += [asyncio.create_task(write_on(number)) for number in range(3)]
+    await asyncio.sleep(0.5)
+    cluster.store.faults.down = True
+    await asyncio.sleep(0.5)
+    restored_at_s = loop.time()
+    await cluster.store.restore()
+    cluster.store.faults.down = False
+
+    async def is_settled():
+        fleets = [node.board.fleet for node in cluster.nodes]
+        return (
+            all(fleet.era == 1 for fleet in fleets)
+            and len({fleet.version for fleet in fleets}) == 1
+        )
+
+    await wait_for(is_settled)
+    settled_after_s = loop.time() - restored_at_s
+    await asyncio.sleep(1.0)
+    stop.set()
+    await asyncio.gather(*tasks)
+    assert not failed_reads
+    assert settled_after_s < 3.0
+    assert all(at_s < restored_at_s + 1.0 for at_s in write_failures_at_s)
+    fleet = cluster.nodes[0].board.fleet
+    assert set(fleet.members_by_id) == {"node-0", "node-1", "node-2"}
+
+
+async def test_a_fleet_that_knew_nothing_of_before_serves_again(cluster):
+    """All processes end, and the store comes back while they start again."""
+    cluster.store.take_copy()
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k kept")).error
+    for node in cluster.nodes:
+        await node.abort()
+    cluster.nodes.clear()
+    await cluster.store.restore()
+    for number in range(2):
+        await cluster.add_node(number)
+    await cluster.wait_until_writable()
+    reader = await cluster.connect("main-db", 1)
+    assert (await reader.query("READ k")).rows == ("kept",)
+    assert all(node.board.fleet.era == 1 for node in cluster.nodes)
+
+
+async def test_a_promotion_that_the_store_has_lost_is_not_undone(cluster):
+    """Only the nodes know the newest primary; its commits are not lost."""
+    cluster.store.take_copy()
+    await cluster.group.servers[0].stop()
+
+    async def has_new_primary():
+        return await cluster.try_write(0) and await cluster.try_write(1)
+
+    await wait_for(has_new_primary, 12.0)
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k kept")).error
+    promotions = len(cluster.store.promotions)
+    await cluster.store.restore()
+
+    async def is_settled():
+        return all(node.board.fleet.era == 1 for node in cluster.nodes)
+
+    await wait_for(is_settled)
+    await wait_for(has_new_primary)
+    assert (await client.query("READ k")).rows == ("kept",)
+    assert len(cluster.store.promotions) == promotions
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -8,7 +8,9 @@
 import bisect
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+import structlog
 
 from pollencleat.core.bounds import AcknowledgedBounds
 from pollencleat.core.data import (
@@ -20,7 +22,7 @@
     VmList,
     with_registered_servers,
 )
-from pollencleat.core.effects import Effect
+from pollencleat.core.effects import Effect, FleetUpdated
 from pollencleat.core.index import FleetIndex, make_fleet_index
 from pollencleat.core.messages import (
     Envelope,
@@ -29,6 +31,9 @@
     Versions,
     WritesEnded,
 )
+from pollencleat.core.versions import era_of, format_version
+
+log = structlog.get_logger()
 
 MAX_PRIMARY_SAMPLES = 256
 """Position samples kept for each primary to bound the staleness of its replicas."""
@@ -202,6 +207,9 @@
         fleet_confirmed_at_s: When the latest platform read was sent that confirmed the
             known fleet state as current; the read may have been another node's.
         read_answered_at_s: When this node's latest platform read was answered.
+        store_era: Highest era of the store that this node has seen.
+        restored: Unsettled fleet state in the store, or None.
+        restored_seen_at_s: When this node first read an unsettled state in this era.
         outage_limit_s: The inventory's outage limit at the last update of
             fleet_confirmed_at_s; a later change must not extend an outage that has
             already begun.
@@ -241,6 +249,9 @@
     vms: VmList = field(default_factory=VmList)
     fleet_confirmed_at_s: float = -1e9
     read_answered_at_s: float = -1e9
+    store_era: int = 0
+    restored: Fleet | None = None
+    restored_seen_at_s: float = -1e9
     outage_limit_s: float = 0.0
     registered_at_s: float | None = None
     no_promotion_before_s: float = -1e9
@@ -368,11 +379,46 @@
             bounds = self.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
             bounds.add(term.term, sent_at_s, ended.position)
 
+    def note_restored(self, fleet: Fleet, now_s: float) -> None:
+        """Record an unsettled fleet state of the store; the known one stays in force.
+
+        Args:
+            fleet: The state that was read.
+            now_s: Local time.
+        """
+        if fleet.version <= self.fleet.version:
+            return
+        is_first = self.restored is None or era_of(self.restored.version) != era_of(
+            fleet.version
+        )
+        self.restored = fleet
+        if is_first:
+            self.restored_seen_at_s = now_s
+            log.warning(
+                "store restored",
+                known=format_version(self.fleet.version),
+                restored=format_version(fleet.version),
+                written_for_era=fleet.era,
+            )
+
+    def adopt_updated_fleet(self, result: FleetUpdated, now_s: float) -> None:
+        """Adopt the state that this node's own update has put into the store.
+
+        Args:
+            result: The result of a successful update.
+            now_s: Local time.
+        """
+        fleet = replace(result.effect.fleet, version=result.version)
+        if fleet.is_settled:
+            self.adopt_fleet(fleet, now_s)
+        else:
+            self.note_restored(fleet, now_s)
+
     def adopt_fleet(self, fleet: Fleet, now_s: float) -> bool:
         """Replace the known fleet state if the given one is newer.
 
         Args:
-            fleet: A state read from the platform or received from a peer.
+            fleet: A settled state read from the platform or received from a peer.
             now_s: Local time.
 
         Returns:
@@ -388,6 +434,8 @@
             ):
                 self.primary_learned_at_s[group_id] = now_s
         self.fleet = fleet
+        if self.restored is not None and fleet.version > self.restored.version:
+            self.restored = None
         for incarnation in fleet.removed_by_incarnation:
             self.removal_learned_at_s.setdefault(incarnation, now_s)
         for member in fleet.members_by_id.values():
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -9,6 +9,8 @@
 import enum
 from dataclasses import dataclass, field, replace
 
+from pollencleat.core.versions import era_of
+
 
 class Outcome(enum.StrEnum):
     """Whether a statement that returned an error ran, as reported to the caller."""
@@ -195,6 +197,8 @@
             require its promises.
         public_key: Z85 text of the member's own key for peer messages; empty where
             the deployment shares one.
+        joined_in_era: Era of the store in which the process joined an unsettled state;
+            0 for others.
         is_heir: Whether it replaced a process at the same address that could promote
             or was such a replacement itself.  A node that does not know of the
             replacement still requires the promises of the dead process, so once those
@@ -210,6 +214,7 @@
     may_promote: bool
     public_key: str = ""
     is_heir: bool = False
+    joined_in_era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,6 +310,8 @@
             inventory declares none.  It never decreases, since a share that has been
             reassigned is slow to reclaim.
         doubted: Incarnations of members that some node suspects to be gone, sorted.
+        era: Era of the store that the state was written for.
+        next_term: Lowest number of the next term of any group.
     """
 
     version: int = 0
@@ -314,6 +321,17 @@
     audit: tuple[AuditEntry, ...] = ()
     seats: int = 0
     doubted: tuple[str, ...] = ()
+    era: int = 0
+    next_term: int = 0
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the state was written for the era of the store that holds it.
+
+        Otherwise the store came back from an older copy since, or the update was made
+        before and took effect after.
+        """
+        return self.era == era_of(self.version)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/effects.py
+++ b/pollencleat/core/effects.py
@@ -97,12 +97,17 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformRead:
-    """Result of a platform read that was sent at a local time, in seconds."""
+    """Result of a platform read that was sent at a local time, in seconds.
+
+    Attributes:
+        era: Era of the store.
+    """
 
     sent_at_s: float
     fleet: Fleet
     inventory: Inventory
     vms: VmList
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/ports.py
+++ b/pollencleat/core/ports.py
@@ -13,11 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformState:
-    """Result of one read of the platform."""
+    """Result of one read of the platform.
+
+    Attributes:
+        era: Era of the store, which rises when it comes back from an older copy.
+    """
 
     fleet: Fleet
     inventory: Inventory
     vms: VmList
+    era: int = 0
 
 
 class PlatformStore(Protocol):
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -161,7 +161,9 @@
         board = self._board
         sent_at_s = self._clock()
         state = await self._store.read_state(board)
-        self._deliver(PlatformRead(sent_at_s, state.fleet, state.inventory, state.vms))
+        self._deliver(
+            PlatformRead(sent_at_s, state.fleet, state.inventory, state.vms, state.era)
+        )
 
     def _record_platform_read(self, is_reachable: bool, reason: str) -> None:
         self._metrics.count("platform_read", "ok" if is_reachable else "failed")
--- a/pollencleat/daemon/node.py
+++ b/pollencleat/daemon/node.py
@@ -33,6 +33,7 @@
     MEMBERSHIP_PURPOSE,
     RegistrationController,
 )
+from pollencleat.membership.restore import RESTORE_PURPOSE, RestoreController
 from pollencleat.promotion.controller import PromotionController
 from pollencleat.promotion.replica_repair import ReplicaRepairController
 from pollencleat.promotion.suspicion import make_sighting
@@ -75,12 +76,14 @@
         self.clock = timers.clock
         self.beats = HeartbeatController(board, seeds)
         self.registration = RegistrationController(board)
+        self.restore = RestoreController(board)
         self.promotion = PromotionController(board, timers.clock())
         self.replica_repair = ReplicaRepairController(board)
         timers.subscribe(HEARTBEAT_INTERVAL_S, lambda: self.beats.tick(self.clock()))
         timers.subscribe(
             REGISTRATION_TICK_S, lambda: self.registration.tick(self.clock())
         )
+        timers.subscribe(REGISTRATION_TICK_S, lambda: self.restore.tick(self.clock()))
         timers.subscribe(PROMOTION_TICK_S, lambda: self.promotion.tick(self.clock()))
         timers.subscribe(
             REPLICA_REPAIR_INTERVAL_S, lambda: self.replica_repair.tick(self.clock())
@@ -131,12 +134,15 @@
     @handles(PlatformRead)
     def _on_platform_read(self, read: PlatformRead, now_s: float) -> None:
         self.beats.on_platform_read(read, now_s)
+        self.restore.tick(now_s)
         self.registration.on_platform_read(now_s)
 
     @handles(FleetUpdated)
     def _on_fleet_updated(self, result: FleetUpdated, now_s: float) -> None:
         if result.effect.purpose == MEMBERSHIP_PURPOSE:
             self.registration.on_updated(result, now_s)
+        elif result.effect.purpose == RESTORE_PURPOSE:
+            self.restore.on_updated(result, now_s)
         else:
             self.promotion.on_updated(result, now_s)
 
@@ -147,6 +153,7 @@
     @handles(ServerStatusRead)
     def _on_status_read(self, result: ServerStatusRead, now_s: float) -> None:
         self.promotion.on_status_read(result, now_s)
+        self.restore.on_status_read(result)
 
     @handles(ServerPromoted)
     def _on_promoted(self, result: ServerPromoted, now_s: float) -> None:
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -87,6 +87,8 @@
             return True
         if not acts_as_relay(board, now_s):
             return False
+        if board.restored is not None:
+            return True
         terms = board.fleet.terms_by_group.values()
         if any(term.promotion is not None for term in terms):
             return True
@@ -102,7 +104,8 @@
         """Adopt the result of a platform read.
 
         Platform reads are linearizable, so a version below the known one is invalid and
-        does not extend the write permit.
+        does not extend the write permit.  Neither does an unsettled state, since terms
+        may have begun that it does not show.
 
         Args:
             read: The result.
@@ -110,10 +113,14 @@
         """
         board = self.board
         board.read_answered_at_s = now_s
-        is_current = read.fleet.version >= board.fleet.version
-        board.adopt_fleet(read.fleet, now_s)
+        board.store_era = max(board.store_era, read.era)
         board.adopt_inventory(read.inventory)
         board.adopt_vms(read.vms)
+        if not read.fleet.is_settled:
+            board.note_restored(read.fleet, now_s)
+            return
+        is_current = read.fleet.version >= board.fleet.version
+        board.adopt_fleet(read.fleet, now_s)
         if is_current:
             self._advance_fresh_at(read.sent_at_s)
 
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -14,6 +14,7 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, VmList
+from pollencleat.core.versions import era_of
 
 REREGISTRATION_GRACE_S = 2.0
 """Time after a store outage within which live servers register again, as documented by
@@ -69,6 +70,10 @@
             entries: Server and whether it is leaving, by server id.
             revision: Store revision of the list.
         """
+        if era_of(revision) != era_of(self._changed_revision):
+            # The store was restored: entries of the time since its copy are missing
+            # until the servers have written them again.
+            self._store_returned_at_s = self._clock()
         for server, leaving in entries.values():
             self.update(server, leaving, revision)
         for server_id in list(self._servers_by_id):
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -23,6 +23,9 @@
 """Seats kept free where the inventory declares no number, so that a new member can open
 connections before the others have reduced theirs."""
 
+FIRST_LOG_TERM = 1
+"""Term of a server that was never promoted."""
+
 MAX_HISTORY_TERMS = 32
 """Newest terms of each group that the fleet state keeps."""
 
@@ -62,7 +65,7 @@
         member,
         seat=seat,
         may_promote=is_first_member,
-        is_heir=_replaces_dead_member(previous, member),
+        is_heir=replaces_dead_member(previous, member),
     )
     if previous is not None:
         fleet = without_doubts(fleet, [previous])
@@ -74,7 +77,7 @@
     )
 
 
-def _replaces_dead_member(previous: Member | None, member: Member) -> bool:
+def replaces_dead_member(previous: Member | None, member: Member) -> bool:
     """Return whether a member replaces a dead one that had the promotion right.
 
     A previous member that itself replaced one with the right counts too.  A new process
@@ -203,6 +206,9 @@
 def with_promotion_started(fleet: Fleet, group_id: str, promotion: Promotion) -> Fleet:
     """Move a group to the next term, with no primary until one is published.
 
+    The term jumps where the store came back from an older copy, which may have lost
+    terms that were begun.
+
     Args:
         fleet: The state to start from.
         group_id: The group.
@@ -212,7 +218,18 @@
         The changed state.
     """
     current = fleet.terms_by_group.get(group_id) or GroupTerm(group_id, 0, "")
-    started = replace(current, term=current.term + 1, primary="", promotion=promotion)
+    term = max(current.term + 1, fleet.next_term)
+    assigned_log_term = current.assigned_log_term
+    if term > current.term + 1 and not assigned_log_term:
+        # The servers' terms do not follow the jump.
+        assigned_log_term = max(current.term, FIRST_LOG_TERM)
+    started = replace(
+        current,
+        term=term,
+        primary="",
+        promotion=promotion,
+        assigned_log_term=assigned_log_term,
+    )
     terms = {**fleet.terms_by_group, group_id: started}
     return replace(fleet, terms_by_group=terms)
 
--- a/pollencleat/membership/registration.py
+++ b/pollencleat/membership/registration.py
@@ -17,6 +17,7 @@
 from pollencleat.core.data import Fleet, Member, RemovedMember
 from pollencleat.core.effects import FleetUpdated, ReadPlatform, UpdateFleet
 from pollencleat.core.index import rank_members
+from pollencleat.core.versions import era_of
 from pollencleat.membership.eviction import MAX_READ_AGE_S, EvictionController
 from pollencleat.membership.fleet import (
     NO_SEAT,
@@ -26,6 +27,7 @@
     without_member,
     without_removal_records,
 )
+from pollencleat.membership.restored import first_term_of, with_member_after_restore
 
 MEMBERSHIP_PURPOSE = "membership"
 CONFLICT_VERSION = 0
@@ -97,15 +99,33 @@
 
     def _try_change(self, now_s: float) -> None:
         board = self.board
-        change = self._choose_change(now_s)
+        base = board.fleet
+        if board.restored is None:
+            change = self._choose_change(now_s)
+        else:
+            base = board.restored
+            change = self._join_unsettled(base)
         if change is None:
             return
         fleet, cause = change
         self._is_update_pending = True
         board.effects.append(
-            UpdateFleet(MEMBERSHIP_PURPOSE, board.fleet.version, fleet, cause)
+            UpdateFleet(MEMBERSHIP_PURPOSE, base.version, fleet, cause)
         )
 
+    def _join_unsettled(self, restored: Fleet) -> tuple[Fleet, str] | None:
+        """Join a restored state; nothing else changes before it is settled."""
+        board = self.board
+        listed = restored.members_by_id.get(board.node_id)
+        if board.is_member() or board.resigning:
+            return None
+        if listed is not None and listed.incarnation == board.incarnation:
+            return None
+        fleet = with_member_after_restore(
+            restored, self._make_member(), era_of(restored.version)
+        )
+        return fleet, f"member {board.node_id} registered after a restore"
+
     def on_updated(self, result: FleetUpdated, now_s: float) -> None:
         """Process the result of an update.
 
@@ -121,8 +141,7 @@
         )
         if not result.version:
             return
-        fleet = dataclasses.replace(result.effect.fleet, version=result.version)
-        self.board.adopt_fleet(fleet, now_s)
+        self.board.adopt_updated_fleet(result, now_s)
 
     def _retry_delay_s(self, result: FleetUpdated) -> float:
         if result.version != CONFLICT_VERSION:
@@ -156,7 +175,16 @@
             # incarnation must not join and be removed a second time.
             board.incarnation = f"{board.random.getrandbits(64):016x}"
             board.registered_at_s = None
-        member = Member(
+        fleet = board.fleet
+        if not fleet.version:
+            # Terms of a group may have begun in an object that a restore has lost.
+            next_term = first_term_of(board.store_era)
+            fleet = dataclasses.replace(fleet, era=board.store_era, next_term=next_term)
+        return with_member(fleet, self._make_member(), board.inventory.rules.seats)
+
+    def _make_member(self) -> Member:
+        board = self.board
+        return Member(
             board.node_id,
             board.incarnation,
             board.failure_domain,
@@ -166,7 +194,6 @@
             False,
             board.public_key,
         )
-        return with_member(board.fleet, member, board.inventory.rules.seats)
 
     def _grant_promotion_rights(self, now_s: float) -> tuple[Fleet, str] | None:
         board = self.board
--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -4,6 +4,7 @@
 out by reading, and never resend a change without its expected revision.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from urllib.parse import quote, urlencode
 
@@ -15,7 +16,14 @@
     StoreError,
     StoreUnavailableError,
 )
+from pollencleat.core.versions import (
+    era_of,
+    format_version,
+    make_version,
+    revision_of,
+)
 from pollencleat.platform.settings import Endpoint
+from pollencleat.platform.wire import is_decimal_number
 from pollencleat.web.client import HttpClient, HttpError
 
 CALL_TIMEOUT_S = 1.0
@@ -26,6 +34,9 @@
 
 OBJECTS_PATH = "/api/objects"
 
+ERA_HEADER = "store-era"
+"""Header of all answers; rises by one when the store comes back from an older copy."""
+
 OK = 200
 CREATED = 201
 NOT_FOUND = 404
@@ -42,7 +53,10 @@
 
 
 class ObjectMeta(msgspec.Struct, frozen=True):
-    """An object's name, and the revision of its last change."""
+    """An object's name, and the version of its last change.
+
+    On the wire the field holds the revision alone; the era is in a header.
+    """
 
     name: str
     revision: int
@@ -81,18 +95,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ObjectList:
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind at a version of the store."""
 
     objects_by_name: dict[str, StoredObject]
-    revision: int
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
 class ObjectChanges:
-    """Changes of a kind up to a revision of the store."""
+    """Changes of a kind up to a version of the store."""
 
     events: tuple[ObjectEvent, ...]
-    revision: int
+    version: int
 
 
 class ObjectClient:
@@ -100,12 +114,14 @@
 
     Attributes:
         calls: Number of calls so far.
+        era: Highest era of the store in an answer so far.
     """
 
     def __init__(self, address: Endpoint) -> None:
         """Use the store at an address."""
         self._http = HttpClient(address.host, address.port)
         self.calls = 0
+        self.era = 0
 
     async def close(self) -> None:
         """Close all connections."""
@@ -127,7 +143,7 @@
         status, body = await self._call("GET", f"/{kind}/{name}")
         if status == NOT_FOUND:
             return None
-        return _decode(body, StoredObject)
+        return _with_era(_decode(body, StoredObject), self.era)
 
     async def list_objects(self, kind: str) -> ObjectList:
         """Read all objects of a kind, page by page.
@@ -143,91 +159,115 @@
             StoreUnavailableError: No answer.
         """
         objects_by_name: dict[str, StoredObject] = {}
-        revision = None
+        version = None
         after = ""
         while True:
             params = {"after": after} if after else {}
             _, body = await self._call("GET", f"/{kind}", params=params)
             page = _decode(body, _ListPage)
-            revision = page.current_rev if revision is None else revision
+            page_version = make_version(self.era, page.current_rev)
+            version = page_version if version is None else version
+            if era_of(version) != self.era:
+                raise StoreUnavailableError(f"{kind}: restored between two pages")
             items = _decode_readable(page.items, StoredObject)
             for item in items:
-                objects_by_name[item.meta.name] = item
+                objects_by_name[item.meta.name] = _with_era(item, self.era)
             if not page.has_more or not items:
-                return ObjectList(objects_by_name, revision)
+                return ObjectList(objects_by_name, version)
             after = items[-1].meta.name
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> ObjectChanges:
+    async def watch(self, kind: str, version: int, wait_s: float) -> ObjectChanges:
         """Wait for changes of a kind.
 
         Args:
             kind: The kind.
-            revision: Changes after this revision are returned.
+            version: Changes after this version are returned.
             wait_s: How long to wait for a change, in seconds.
 
         Returns:
             The changes; empty if there were none in time.
 
         Raises:
-            HistoryGoneError: The store has discarded the changes since the revision.
+            HistoryGoneError: The store has discarded the changes since the version, or
+                has come back from an older copy.
             StoreUnavailableError: No answer.
         """
-        params = {"watch": str(revision), "wait_ms": str(int(wait_s * 1000))}
+        params = {
+            "watch": str(revision_of(version)),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
         status, body = await self._call(
             "GET", f"/{kind}", wait_s + WATCH_MARGIN_S, params=params
         )
+        if era_of(version) != self.era:
+            # A revision that was handed out again hides the changes before it.
+            raise HistoryGoneError(f"{kind}: the store was restored")
         if status == GONE:
             raise HistoryGoneError(
-                f"{kind}: changes since revision {revision} were discarded"
+                f"{kind}: changes since {format_version(version)} were discarded"
             )
         answer = _decode(body, _WatchAnswer)
-        events = _decode_readable(answer.events, ObjectEvent)
-        return ObjectChanges(tuple(events), answer.current_rev)
+        events = [
+            ObjectEvent(_with_era(event.object, self.era), event.deleted)
+            for event in _decode_readable(answer.events, ObjectEvent)
+        ]
+        return ObjectChanges(tuple(events), make_version(self.era, answer.current_rev))
 
-    async def create_object(self, kind: str, name: str, spec: Json) -> int:
+    async def create_object(self, kind: str, name: str, era: int, spec: Json) -> int:
         """Create an object.
 
         Args:
             kind: Its kind.
             name: Its name.
+            era: Era of the store in which it did not exist.
             spec: Its content.
 
         Returns:
-            Its revision.
+            Its version.
 
         Raises:
             StoreConflictError: The object exists.
             StoreUnavailableError: No answer; the object may have been created.
         """
         body = {"meta": {"name": name}, "spec": spec}
-        return await self._change("POST", f"/{kind}", body)
+        return await self._change("POST", f"/{kind}", body, era)
 
     async def replace_object(
-        self, kind: str, name: str, revision: int, spec: Json
+        self, kind: str, name: str, version: int, spec: Json
     ) -> int:
-        """Replace an object's content if its revision is the expected one.
+        """Replace an object's content if its version is the expected one.
 
         Args:
             kind: Its kind.
             name: Its name.
-            revision: The expected revision.
+            version: The expected version.
             spec: The new content.
 
         Returns:
-            The new revision.
+            The new version.
 
         Raises:
             StoreConflictError: The object was changed.
             StoreUnavailableError: No answer; the change may have taken effect.
         """
-        body = {"meta": {"name": name, "revision": revision}, "spec": spec}
-        return await self._change("PUT", f"/{kind}/{name}", body)
-
-    async def _change(self, method: str, path: str, body: Json) -> int:
+        body = {
+            "meta": {"name": name, "revision": revision_of(version)},
+            "spec": spec,
+        }
+        return await self._change("PUT", f"/{kind}/{name}", body, era_of(version))
+
+    async def _change(self, method: str, path: str, body: Json, era: int) -> int:
+        """Send a change that is meant for an era of the store."""
+        if era != self.era:
+            raise StoreConflictError(f"{method} {path}: the store was restored")
         status, answer = await self._call(method, path, body=body)
         if status in (CONFLICT, NOT_FOUND):
             raise StoreConflictError(f"{method} {path}: status {status}")
-        return _decode(answer, StoredObject).meta.revision
+        if era != self.era:
+            raise StoreUnavailableError(
+                f"{method} {path}: carried out after the store was restored"
+            )
+        return make_version(era, _decode(answer, StoredObject).meta.revision)
 
     async def _call(
         self,
@@ -248,8 +288,21 @@
             raise StoreUnavailableError(f"{method} {path}: {error}") from error
         if response.status not in (OK, CREATED, NOT_FOUND, CONFLICT, GONE):
             raise StoreUnavailableError(f"{method} {path}: status {response.status}")
+        self._check_era(f"{method} {path}", response.headers)
         return response.status, response.body
 
+    def _check_era(self, call: str, headers: Mapping[str, str]) -> None:
+        """Adopt a higher era; refuse an answer that was given before a restore."""
+        text = headers.get(ERA_HEADER, "0")
+        if not is_decimal_number(text):
+            raise StoreError(f"{call}: malformed era {text[:20]!r}")
+        era = int(text)
+        if era < self.era:
+            raise StoreUnavailableError(f"{call}: answered before the restore")
+        if era > self.era:
+            log.info("store era", era=era, before=self.era)
+        self.era = era
+
 
 def _decode(body: bytes, kind: type) -> object:
     try:
@@ -258,6 +311,14 @@
         raise StoreError(f"malformed answer of the store: {error}") from error
 
 
+def _with_era(stored: StoredObject, era: int) -> StoredObject:
+    """Return an object whose meta holds its version instead of its revision."""
+    version = make_version(era, stored.meta.revision)
+    return StoredObject(
+        ObjectMeta(stored.meta.name, version), stored.spec, stored.status
+    )
+
+
 def _decode_readable(items: list[msgspec.Raw], kind: type) -> list:
     """Return the items that can be decoded; other writers may store malformed ones."""
     readable = []
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -13,6 +13,7 @@
 from pollencleat.core.errors import StoreError
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.versions import era_of, make_version, revision_of
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.platform.objects import (
     HistoryGoneError,
@@ -53,23 +54,36 @@
     async def read_state(self, board: Blackboard) -> PlatformState:
         """Read the fleet state; watches keep the rest up to date."""
         stored = await self._client.read_object(FLEET_KIND, FLEET_NAME)
-        fleet = Fleet()
-        if stored is not None:
-            fleet = board.fleet
-            if stored.meta.revision != board.fleet.version:
-                fleet = unpack_fleet(stored.spec, stored.meta.revision)
-        return PlatformState(fleet, board.declared_inventory, board.vms)
+        era = self._client.era
+        fleet = board.fleet
+        if stored is None:
+            fleet = _missing_fleet(board.fleet, era)
+        elif stored.meta.revision != board.fleet.version:
+            fleet = unpack_fleet(stored.spec, stored.meta.revision)
+        return PlatformState(fleet, board.declared_inventory, board.vms, era)
 
     async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
         """Replace the fleet state if its version is the expected one."""
         content = pack_fleet(fleet)
-        if not expected_version:
-            return await self._client.create_object(FLEET_KIND, FLEET_NAME, content)
+        if not revision_of(expected_version):
+            return await self._client.create_object(
+                FLEET_KIND, FLEET_NAME, fleet.era, content
+            )
         return await self._client.replace_object(
             FLEET_KIND, FLEET_NAME, expected_version, content
         )
 
 
+def _missing_fleet(known: Fleet, era: int) -> Fleet:
+    """Return the state of a store without a fleet object.
+
+    If one is known, the store came back from a copy of before its creation.
+    """
+    if not known.version or era == era_of(known.version):
+        return Fleet()
+    return Fleet(make_version(era, 0), era=era_of(known.version))
+
+
 class _PackedFleet(msgspec.Struct, frozen=True):
     """The fleet state, compressed: relays read it often and across failure domains."""
 
@@ -80,7 +94,7 @@
     """Return a fleet state as the content of its object.
 
     Args:
-        fleet: The state; its version is the object's revision.
+        fleet: The state; its version is the object's.
 
     Returns:
         The content.
@@ -89,12 +103,12 @@
     return msgspec.to_builtins(_PackedFleet(zlib.compress(content)))
 
 
-def unpack_fleet(spec: Json, revision: int) -> Fleet:
+def unpack_fleet(spec: Json, version: int) -> Fleet:
     """Return the fleet state of an object's content.
 
     Args:
         spec: The content.
-        revision: The object's revision.
+        version: The object's version.
 
     Returns:
         The state.
@@ -107,7 +121,7 @@
         fleet = msgspec.msgpack.decode(content, type=Fleet)
     except (msgspec.MsgspecError, zlib.error) as error:
         raise StoreError(f"malformed fleet state: {error}") from error
-    return dataclasses.replace(fleet, version=revision)
+    return dataclasses.replace(fleet, version=version)
 
 
 async def read_platform_state(client: ObjectClient) -> PlatformState:
@@ -134,7 +148,7 @@
     entries = _decode_servers(listed)
     leaving = tuple(sorted(name for name in entries if entries[name][1]))
     servers_by_id = {name: server for name, (server, _) in entries.items()}
-    vms = VmList(listed.revision, None, leaving, servers_by_id)
+    vms = VmList(listed.version, None, leaving, servers_by_id)
     return PlatformState(fleet, inventory, vms)
 
 
@@ -180,7 +194,7 @@
         self._on_changes = on_changes
         self._on_availability = on_availability
         self._interval_s = interval_s
-        self._revision: int | None = None
+        self._version: int | None = None
         self._is_available = True
 
     async def run(self) -> None:
@@ -191,26 +205,26 @@
                 self._report_availability(True, "")
             except HistoryGoneError as error:
                 log.info("watch restarted", kind=self._kind, reason=str(error))
-                self._revision = None
+                self._version = None
             except StoreError as error:
                 self._report_availability(False, str(error))
                 await asyncio.sleep(RETRY_DELAY_S)
             except Exception as error:
                 # Changes may have been applied partially; a complete list repairs that.
                 self._faults.record(f"watch of {self._kind}", error)
-                self._revision = None
+                self._version = None
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def _step(self) -> None:
-        if self._revision is None:
+        if self._version is None:
             listed = await self._client.list_objects(self._kind)
             self._on_list(listed)
-            self._revision = listed.revision
+            self._version = listed.version
             return
-        changes = await self._client.watch(self._kind, self._revision, WATCH_WAIT_S)
+        changes = await self._client.watch(self._kind, self._version, WATCH_WAIT_S)
         if changes.events:
             self._on_changes(changes)
-        self._revision = max(self._revision, changes.revision)
+        self._version = max(self._version, changes.version)
         if self._interval_s:
             await asyncio.sleep(self._interval_s)
 
@@ -284,7 +298,7 @@
     """
 
     def on_list(listed: ObjectList) -> None:
-        directory.replace_all(_decode_servers(listed), listed.revision)
+        directory.replace_all(_decode_servers(listed), listed.version)
 
     def on_changes(changes: ObjectChanges) -> None:
         for event in changes.events:
@@ -298,7 +312,7 @@
                 log.info("server entry refused", server=name, reason=str(error))
                 continue
             directory.update(server, leaving, event.object.meta.revision)
-        directory.publish(changes.revision)
+        directory.publish(changes.version)
 
     return StoreWatcher(
         client,
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -188,6 +188,8 @@
             return False
         if not board.is_member() or board.draining or self._start_pending:
             return False
+        if board.restored is not None:
+            return False
         if not board.fleet.members_by_id[board.node_id].may_promote:
             return False
         return now_s - self.started_at_s >= WARM_UP_S
@@ -413,8 +415,7 @@
             self._publish_pending.clear()
         if result.version:
             self._send_withheld_follow_orders(result)
-            fleet = dataclasses.replace(result.effect.fleet, version=result.version)
-            board.adopt_fleet(fleet, now_s)
+            board.adopt_updated_fleet(result, now_s)
             self._broadcast_fleet()
         if result.effect.purpose != START_PURPOSE:
             return
@@ -710,7 +711,7 @@
 
     def _advance_publishing(self, attempt: Attempt, now_s: float) -> None:
         board = self.board
-        if self._publish_pending:
+        if self._publish_pending or board.restored is not None:
             return
         fleet: Fleet = board.fleet
         causes = []
--- a/pollencleat/tools/platform_commands.py
+++ b/pollencleat/tools/platform_commands.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.versions import format_version
 from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.settings import parse_endpoint
 from pollencleat.platform.store import read_platform_state
@@ -96,5 +97,6 @@
             for database, route in inventory.routes_by_database.items()
         ],
     )
-    head = f"fleet version {fleet.version}, configuration {inventory.version}"
+    fleet_version = format_version(fleet.version)
+    head = f"fleet version {fleet_version}, configuration {inventory.version}"
     return "\n\n".join((head, members, groups, servers, routes))
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import copy
 import random
 from dataclasses import dataclass, field
 from typing import Any
@@ -17,6 +18,11 @@
 PAGE_SIZE = 500
 """Default number of objects per list page."""
 
+ERA_HEADER = "Store-Era"
+
+MAX_COPIES = 64
+"""Newest copies that are kept."""
+
 MAX_WAIT_S = 30.0
 """Longest wait of a watch, and how long calls hang in the ``silent`` fault."""
 
@@ -41,6 +47,17 @@
     delay_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The contents of the store at one moment, in seconds of the event loop."""
+
+    taken_at_s: float
+    revision: int
+    objects: dict[str, dict[str, dict]]
+    events: list[tuple[int, str, dict]]
+    oldest_revision: int
+
+
 class ObjectStoreStandIn:
     """HTTP object store with one revision counter for all objects.
 
@@ -53,6 +70,7 @@
         groups: Server groups by name that the promotion call accepts.
         promotions: Service, server id, holder and fencing token of each promotion call.
         address: Listening address as host:port.
+        era: Number of restores, in the header of all answers; None sends no header.
     """
 
     def __init__(self, seed: int = 1, page_size: int = PAGE_SIZE) -> None:
@@ -71,6 +89,8 @@
         self._runner: web.AppRunner | None = None
         self._registration_tasks: list[asyncio.Task] = []
         self.address = ""
+        self.era: int | None = 0
+        self._copies: list[StoreCopy] = []
 
     async def start(self) -> None:
         """Listen on a free loopback port."""
@@ -104,13 +124,63 @@
         if faults.silent:
             await asyncio.sleep(MAX_WAIT_S)
         if faults.down or request.remote in faults.rejected_hosts:
-            return web.Response(status=503)
-        response = await handler(request)
+            return self._with_era(web.Response(status=503))
+        response = self._with_era(await handler(request))
         is_change = request.method != "GET"
         if is_change and self._random.random() < faults.lose_response_probability:
             request.transport.abort()
         return response
 
+    def _with_era(self, response: web.StreamResponse) -> web.StreamResponse:
+        if self.era is not None:
+            response.headers[ERA_HEADER] = str(self.era)
+        return response
+
+    # Copies and restores.
+
+    def take_copy(self) -> None:
+        """Keep a copy of the contents as they are now."""
+        self._copies.append(
+            StoreCopy(
+                asyncio.get_running_loop().time(),
+                self.revision,
+                copy.deepcopy(self.objects),
+                list(self.events),
+                self.oldest_revision,
+            )
+        )
+
+    def start_copying(self, interval_s: float) -> None:
+        """Take a copy every so many seconds until the store stops."""
+
+        async def take_copies() -> None:
+            while True:
+                self.take_copy()
+                del self._copies[:-MAX_COPIES]
+                await asyncio.sleep(interval_s)
+
+        self._registration_tasks.append(asyncio.create_task(take_copies()))
+
+    async def restore(self, age_s: float = 0.0) -> None:
+        """Come back from the newest copy that is at least so old.
+
+        What was written since is lost, its revisions are handed out again, and the era
+        rises by one.
+
+        Args:
+            age_s: Least age of the copy in seconds; the oldest one if none is as old.
+        """
+        now_s = asyncio.get_running_loop().time()
+        usable = [item for item in self._copies if now_s - item.taken_at_s >= age_s]
+        chosen = usable[-1] if usable else self._copies[0]
+        self.revision = chosen.revision
+        self.objects = copy.deepcopy(chosen.objects)
+        self.events = list(chosen.events)
+        self.oldest_revision = chosen.oldest_revision
+        self.era = (self.era or 0) + 1
+        async with self._changed:
+            self._changed.notify_all()
+
     # Direct changes by tests, which act as operators and backend servers.
 
     async def put(self, kind: str, name: str, spec: Any) -> int:
@@ -192,7 +262,7 @@
         wait_s = min(int(request.query.get("wait_ms", "0")) / 1000, MAX_WAIT_S)
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if since < self.oldest_revision - 1:
+            if since < self.oldest_revision - 1 or since > self.revision:
                 return web.Response(status=410)
             matching_events = [
                 event
