Replica positions: an open connection shows that a server did not restart

Ruled out: ignoring the suspicion; a replica that lost its log would then count. Change: a status names since when the connection that carried it has been open; the connection is opened when the server is first seen. A bound is renewed after half of the shortest age limit instead of 0.4 s, since each request is priced.

--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -376,6 +376,8 @@
             reported.
         held_for_term: The server's replication is paused until there is a primary of
             this term; 0 if it is not paused.
+        connected_at_s: Local time at which the connection that carried the report was
+            opened; the server has not restarted since.  None if not known.
     """
 
     term: int
@@ -385,6 +387,7 @@
     read_only: bool
     following: str | None
     held_for_term: int = 0
+    connected_at_s: float | None = None
 
 
 def with_registered_servers(inventory: Inventory, vms: VmList) -> Inventory:
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -1,6 +1,7 @@
 """Control commands to backend servers, and the platform's promotion call."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -62,6 +63,7 @@
         self._connections_by_server: dict[str, ServerConnection] = {}
         self._connected_servers_by_id: dict[str, BackendServer] = {}
         self._last_used_s_by_server: dict[str, float] = {}
+        self._opened_at_s_by_server: dict[str, float] = {}
         self._locks_by_server: dict[str, asyncio.Lock] = {}
 
     async def read_status(self, server_id: str) -> ServerStatus:
@@ -145,7 +147,9 @@
             async with lock:
                 connection = await self._connect(server_id)
                 self._last_used_s_by_server[server_id] = read_boottime_s()
-                return await connection.run_command(text)
+                status = await connection.run_command(text)
+                opened_at_s = self._opened_at_s_by_server[server_id]
+                return dataclasses.replace(status, connected_at_s=opened_at_s)
 
         return await _with_timeout(run, f"{server_id}: {text}")
 
@@ -160,6 +164,7 @@
                 return connection
             connection.close()
         connection = await open_server_connection(server)
+        self._opened_at_s_by_server[server_id] = read_boottime_s()
         self._connections_by_server[server_id] = connection
         self._connected_servers_by_id[server_id] = server
         return connection
--- a/pollencleat/routing/replica_positions.py
+++ b/pollencleat/routing/replica_positions.py
@@ -10,7 +10,8 @@
 commit that was acknowledged before the first of these requests was sent.  None lies
 beyond the highest of the positions, whichever server leads and whether or not a
 promotion is in progress.  A server that restarted may have lost its log and does not
-count until it has had time to receive it again.
+count until it has had time to receive it again; a connection that stays open shows that
+it has not restarted.
 
 The requests occupy slots, so they are sent only while reads want a bound and the
 primary gives none.
@@ -21,18 +22,18 @@
 from pollencleat.core.blackboard import Blackboard, ServerView
 from pollencleat.core.bounds import AcknowledgedBounds, is_before
 from pollencleat.core.data import DatabaseGroup, Position
-from pollencleat.limits.shares import connections_allowed
+from pollencleat.limits.shares import connections_allowed, reserved_connections
 from pollencleat.membership.permits import writable_term
 
 BOUND_WANTED_S = 1.0
 """Seconds after a read wanted a newer bound for which one is collected."""
 
-MIN_BOUND_AGE_S = 0.4
-"""Age in seconds from which a bound is worth renewing; a primary that answers gives
-newer ones with ordinary replies."""
+RENEWAL_SHARE = 0.5
+"""Fraction of the shortest age limit of a group's reads after which a bound is
+renewed."""
 
 STATUS_INTERVAL_S = 0.25
-"""Seconds between two status requests to a server."""
+"""Shortest time in seconds between two status requests to a server."""
 
 PRIMARY_SILENT_S = 0.25
 """Seconds without an answer after which a primary is not expected to give bounds."""
@@ -92,6 +93,9 @@
             known = self._known_since.get(server_id)
             if known is None or known[0] != server.born_ms:
                 self._known_since[server_id] = (server.born_ms, now_s)
+                if reserved_connections(self._board, server_id) > 0:
+                    # Opens the connection that later shows that it did not restart.
+                    self._request_probe(server_id)
         for server_id in set(self._known_since) - set(servers_by_id):
             del self._known_since[server_id]
             self._received_by_server.pop(server_id, None)
@@ -124,9 +128,12 @@
         """Return whether a server's log certainly has all that it ever received."""
         if view.status is None or now_s - view.status_sent_at_s > STATUS_VALID_S:
             return False
-        if view.status_sent_at_s - view.restart_suspected_at_s < LOG_RECOVERY_S:
-            return False
-        if now_s - self._known_since[server_id][1] < LOG_RECOVERY_S:
+        running_since_s = max(
+            view.restart_suspected_at_s, self._known_since[server_id][1]
+        )
+        if view.status.connected_at_s is not None:
+            running_since_s = min(running_since_s, view.status.connected_at_s)
+        if view.status_sent_at_s - running_since_s < LOG_RECOVERY_S:
             return False
         received = received_position(view)
         known = self._received_by_server.get(server_id, received)
@@ -160,9 +167,27 @@
         return False
     bounds = board.bounds_by_group.get(group_id)
     newest_at_s = bounds.entries[-1][0] if bounds and bounds.entries else -1e9
-    if now_s - newest_at_s <= MIN_BOUND_AGE_S:
+    if now_s - newest_at_s <= RENEWAL_SHARE * shortest_age_limit_s(board, group_id):
         return False
     term = writable_term(board, group_id, now_s)
     if term is None:
         return True
     return board.server_view(term.primary).unanswered_for_s(now_s) > PRIMARY_SILENT_S
+
+
+def shortest_age_limit_s(board: Blackboard, group_id: str) -> float:
+    """Return the shortest age limit in seconds of the reads of a group.
+
+    Args:
+        board: The node's state.
+        group_id: The group.
+
+    Returns:
+        Seconds; 0 if no route of the group limits the age of its reads.
+    """
+    limits_ms = [
+        route.max_age_ms
+        for route in board.inventory.routes_by_database.values()
+        if route.group_id == group_id and route.max_age_ms
+    ]
+    return min(limits_ms, default=0) / 1000
--- a/pollencleat/routing/replica_positions_test.py
+++ b/pollencleat/routing/replica_positions_test.py
@@ -1,6 +1,7 @@
 """Bounds from replicas, against a model of commits that are acknowledged meanwhile."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -46,6 +47,7 @@
         self.probed = []
         self.controller = ReplicaPositionController(self.board, self.probed.append)
         self.controller.tick(NOW_S - 10)
+        self.probed.clear()
         self.board.bound_wanted_at_s["g"] = NOW_S
 
     def report(self, server_id, position, sent_at_s, term=1):
@@ -88,6 +90,20 @@
     assert replicas.bound() is None
 
 
+def test_an_open_connection_shows_that_a_server_did_not_restart():
+    """Regression (Volta, trouble-3): a pool without an open connection made its server
+    count as restarted, and reads were refused for three seconds more."""
+    replicas = Replicas()
+    for server_id in "rs":
+        replicas.report(server_id, 40, NOW_S - 0.1)
+        replicas.board.server_view(server_id).restart_suspected_at_s = NOW_S - 1.0
+    assert replicas.bound() is None
+    for server_id in "rs":
+        view = replicas.board.server_view(server_id)
+        view.status = replace(view.status, connected_at_s=NOW_S - LOG_RECOVERY_S - 0.2)
+    assert replicas.bound() == Position(1, 40)
+
+
 @pytest.mark.parametrize("evidence", ["connection lost", "shorter log", "new start"])
 def test_a_server_that_may_have_restarted_does_not_count(evidence):
     replicas = Replicas()
