Promotion: a loss during an outage of the store is known when it returns

How long a server has not answered does not depend on the store; a node that hears another failure domain was not the one cut off. Ruled out: keeping every suspicion; nodes that were cut off replaced healthy primaries (two regression tests stay as they are).

--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -26,7 +26,11 @@
     RequestAtWork,
 )
 from pollencleat.core.timers import read_boottime_s
-from pollencleat.daemon.readiness import is_ready
+from pollencleat.daemon.readiness import (
+    OUT_OF_ROTATION_AFTER_S,
+    RotationWatch,
+    is_ready,
+)
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.listener import SessionListener
@@ -76,10 +80,6 @@
 CLOSE_UNUSED_TICK_S = 10.0
 """Interval of the check for unused connections to peers."""
 
-READINESS_DELAY_S = 2.2
-"""Time after which the platform, which polls readiness once a second, has polled twice
-and sends no new connections."""
-
 MAX_SESSIONS_MOVED_PER_TICK = 4
 """Idle sessions that a node which lost its readiness closes per tick; a hundred take
 2.5 s, so that not all of them reconnect at the same moment."""
@@ -152,8 +152,7 @@
         )
         self.endpoints = HttpEndpoints(self.metrics, self.faults)
         self._idle_check: asyncio.Task | None = None
-        self._was_ready = False
-        self._unready_since_s = 0.0
+        self._rotation = RotationWatch()
         self.ready_port = 0
 
     def _make_pool(self, server: BackendServer) -> ServerPool:
@@ -178,7 +177,7 @@
         self.board.address = self.transport.start(endpoint)
         self.stop_hooks.append(self._stop_transport)
         self.ready_port = await self.endpoints.serve_readiness(
-            settings.readiness.host, settings.readiness.port, self._is_ready
+            settings.readiness.host, settings.readiness.port, self._answer_check
         )
         await self.endpoints.serve_metrics(settings.host, settings.admin_port)
         self.stop_hooks.append(self.endpoints.close)
@@ -225,22 +224,20 @@
         self._output.flush()
 
     def _update_readiness(self, now_s: float) -> None:
-        """Log changes of readiness; close idle sessions READINESS_DELAY_S after a loss.
+        """Log changes of readiness; close idle sessions once out of rotation.
 
         Sooner, the platform could send the callers back to this node.
         """
-        ready = self._is_ready()
-        if ready != self._was_ready:
-            self._was_ready = ready
-            self._unready_since_s = now_s
-            log.info("readiness", ready=ready, node=self.settings.node_id)
-        has_lost_readiness = (
-            not ready and self.access.has_been_ready and not self.board.draining
-        )
-        if not has_lost_readiness or now_s - self._unready_since_s < READINESS_DELAY_S:
+        if self._rotation.update(self._is_ready(), now_s):
+            log.info(
+                "readiness", ready=self._rotation.is_ready, node=self.settings.node_id
+            )
+        if not self.access.has_been_ready or self.board.draining:
+            return
+        if not self._rotation.is_out_of_rotation(now_s):
             return
         moved = self.listener.close_idle(
-            self._unready_since_s, MAX_SESSIONS_MOVED_PER_TICK
+            self._rotation.unready_since_s, MAX_SESSIONS_MOVED_PER_TICK
         )
         if moved:
             self.metrics.count("session_moved", amount=moved)
@@ -254,6 +251,12 @@
     def _is_ready(self) -> bool:
         return is_ready(self.board, read_boottime_s())
 
+    def _answer_check(self) -> bool:
+        """Answer a readiness check of the platform."""
+        ready = self._is_ready()
+        self._rotation.record_check(ready)
+        return ready
+
     def reload(self) -> None:
         """Read the settings file again; the listen addresses do not change."""
         try:
@@ -270,7 +273,7 @@
         log.info("draining", node=self.settings.node_id)
         self.board.draining = True
         deadline_s = started_at_s + self.settings.grace_s - STOP_RESERVE_S
-        await asyncio.sleep(READINESS_DELAY_S)
+        await asyncio.sleep(OUT_OF_ROTATION_AFTER_S)
         is_clean = await self.listener.drain(deadline_s - read_boottime_s())
         while self.lender.is_busy and read_boottime_s() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
--- a/pollencleat/promotion/controller.py
+++ b/pollencleat/promotion/controller.py
@@ -65,6 +65,7 @@
     PeerSighting,
     Suspicion,
     assess_primary,
+    hears_other_domain,
     shows_server_alive,
 )
 
@@ -182,9 +183,10 @@
     def _may_start(self, now_s: float) -> bool:
         board = self.board
         if now_s - board.fleet_confirmed_at_s >= START_MAX_READ_AGE_S:
-            # Failures seen while this node was cut off say nothing about the servers.
-            self.started_at_s = now_s
-            self.suspects_by_group.clear()
+            if not hears_other_domain(board, now_s):
+                # Failures seen while this node was cut off say nothing about servers.
+                self.started_at_s = now_s
+                self.suspects_by_group.clear()
             return False
         if not board.is_member() or board.draining or self._start_pending:
             return False
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.blackboard import Blackboard, PeerView
 from pollencleat.core.constants import PRIMARY_TIMEOUT_S
 from pollencleat.core.data import (
     BackendServer,
@@ -83,6 +83,34 @@
     assert run(controller, board, steps(11.9, 14.0), True) == []
 
 
+@pytest.mark.parametrize("hears", [True, False])
+def test_a_loss_during_an_outage_of_the_store_is_known_when_it_returns(hears):
+    """Load pattern (Volta, trouble-3): a primary was lost while the store was away; its
+    replacement began 1.4 s after the store was back.  A node that hears another failure
+    domain was not the one that was cut off."""
+    board = make_board()
+    other = Member("m", "m-1", "b", "", "", 1, True)
+    members = {**board.fleet.members_by_id, "m": other}
+    board.fleet = replace(board.fleet, members_by_id=members)
+    peer = board.peers_by_id.setdefault("m", PeerView("m-1"))
+    controller = PromotionController(board, 0.0)
+    board.server_view("p").record_request(7.0)
+
+    def run_on(begin_s, end_s, is_fresh):
+        for now_s in steps(begin_s, end_s):
+            if hears:
+                peer.last_heartbeat_at_s = now_s
+            updates = run(controller, board, [now_s], is_fresh)
+            if updates:
+                return now_s
+        return None
+
+    assert run_on(5.0, 6.0, True) is None
+    assert run_on(6.0, 11.0, False) is None
+    started_at_s = run_on(11.0, 14.0, True)
+    assert (started_at_s < 11.5) is hears
+
+
 def test_suspicions_from_a_network_cut_are_dropped_while_a_start_is_pending():
     """Regression (scale-1): while the answer to a start was missing, a node that was
     cut off kept its suspicions and replaced healthy primaries right after the cut."""
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -7,11 +7,9 @@
 from pollencleat.core.constants import PRIMARY_TIMEOUT_S
 from pollencleat.core.data import GroupTerm
 from pollencleat.core.messages import Sighting
+from pollencleat.membership.beats import has_recent_heartbeat
 from pollencleat.membership.permits import BEFORE_START_S
 
-REFUSAL_VALID_S = 0.5
-"""Seconds; unused.  A refused connection counts until the server answers again."""
-
 
 class Suspicion(enum.StrEnum):
     """Why a group needs a new primary."""
@@ -114,6 +112,29 @@
     return Sighting(board.node_id, server_id, age_s, view.refused_at_s is not None)
 
 
+def hears_other_domain(board: Blackboard, now_s: float) -> bool:
+    """Return whether a member of another failure domain has sent a recent heartbeat.
+
+    Load pattern: the platform's store is away while a primary is lost.  A node that
+    still hears another failure domain was not cut off, so the time for which a primary
+    has not answered counts, and its replacement can begin once the store is back.
+
+    Args:
+        board: The node's state.
+        now_s: Local time.
+
+    Returns:
+        False for a node that hears only its own failure domain, which may be cut off as
+        a whole.
+    """
+    for member in board.fleet.members_by_id.values():
+        if member.failure_domain == board.failure_domain:
+            continue
+        if has_recent_heartbeat(board, member, now_s):
+            return True
+    return False
+
+
 def shows_server_alive(sighting: PeerSighting, now_s: float) -> bool:
     """Return whether a peer's report shows that a server is alive.
 
