--- a/bench/soak.py
+++ b/bench/soak.py
@@ -56,6 +56,15 @@
 RESTART_DELAY_S = 0.2
 """Delay before a process that ended is restarted."""
 
+COPY_INTERVAL_S = 0.25
+"""Seconds between two copies of the store."""
+
+COPY_AGE_S = (0.3, 5.0)
+"""Range of the least age in seconds of the copy that the store comes back from."""
+
+RESTORE_INTERVAL_S = (0.5, 5.0)
+"""Range of the seconds between two restores."""
+
 FAULT_DURATION_S = (0.2, 4.0)
 SERVER_FAULT_PAUSE_S = 1.0
 """Pause between two server faults; only one server may be lost at a time."""
@@ -155,9 +164,11 @@
         folder: Path,
         nodes: int = NODES,
         connections: int = CONNECTIONS,
+        restores: bool = False,
     ) -> None:
         """Prepare a run; the seed determines all random choices."""
         self.nodes = nodes
+        self.restores = restores
         self.seed = seed
         self.random = random.Random(seed)
         self.fault_s = fault_s
@@ -237,9 +248,32 @@
         leading = [server for server in self.group.servers if server.is_primary]
         return max(leading or self.group.servers, key=lambda server: server.term)
 
+    async def _restore_store(self, ends_s: float) -> None:
+        """Have the store come back from older copies until the faults end.
+
+        The choices are drawn apart from those of the other faults, so that a seed means
+        the same with and without restores.
+        """
+        generator = random.Random(self.seed + 1)
+        self.store.start_copying(COPY_INTERVAL_S)
+        while True:
+            await asyncio.sleep(generator.uniform(*RESTORE_INTERVAL_S))
+            if time.monotonic() > ends_s:
+                return
+            age_s = generator.uniform(*COPY_AGE_S)
+            self._record_event(f"the store goes back {age_s:.1f} s")
+            self.store.faults.down = True
+            await asyncio.sleep(generator.uniform(0.0, 1.5))
+            await self.store.restore(age_s)
+            self.store.faults.down = False
+            await asyncio.sleep(generator.uniform(0.0, 1.0))
+            await put_configuration(self.store, self.group, self.version)
+
     async def _run_scenario(self) -> None:
         running = []
         ends_s = time.monotonic() + self.fault_s
+        if self.restores:
+            running.append(asyncio.create_task(self._restore_store(ends_s)))
         while time.monotonic() < ends_s:
             name = self.random.choice(sorted(_faults))
             running.append(asyncio.create_task(self._run_fault(name)))
@@ -613,6 +647,7 @@
     keep: Path | None = None,
     nodes: int = NODES,
     connections: int = CONNECTIONS,
+    restores: bool = False,
 ) -> list[str]:
     """Run one seed, and keep the logs if a guarantee was violated.
 
@@ -622,12 +657,13 @@
         keep: Folder for the logs of failed runs, or None.
         nodes: Number of entry VMs.
         connections: Connection limit of each server.
+        restores: Whether the store comes back from older copies meanwhile.
 
     Returns:
         A line for every violation of a guarantee.
     """
     with tempfile.TemporaryDirectory(prefix="pollencleat-soak-") as folder:
-        soak = Soak(seed, fault_s, Path(folder), nodes, connections)
+        soak = Soak(seed, fault_s, Path(folder), nodes, connections, restores)
         broken = await soak.run()
         if broken and keep is not None:
             target = keep / f"seed-{seed}"
@@ -646,6 +682,7 @@
 @click.option("--keep", default=None, type=Path, help="Folder for logs of failures.")
 @click.option("--nodes", default=NODES, help="Entry VMs.")
 @click.option("--connections", default=CONNECTIONS, help="Connections of a server.")
+@click.option("--restores", is_flag=True, help="The store goes back to older copies.")
 def main(
     seed: int | None,
     seeds: int,
@@ -654,12 +691,13 @@
     keep: Path | None,
     nodes: int,
     connections: int,
+    restores: bool,
 ) -> None:
     """Run the soak; exits with 1 if a guarantee was violated."""
     first_seed = seed if seed is not None else random.SystemRandom().randrange(1 << 30)
 
     async def run_one(number: int) -> list[str]:
-        return await run_seed(number, seconds, keep, nodes, connections)
+        return await run_seed(number, seconds, keep, nodes, connections, restores)
 
     asyncio.run(_run_seeds(range(first_seed, first_seed + seeds), jobs, run_one))
 
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -27,6 +27,11 @@
     assert broken == [], f"logs in {tmp_path}"
 
 
+async def test_promises_hold_while_the_store_goes_back_to_older_copies(tmp_path):
+    broken = await run_seed(11, FAULT_S, tmp_path, restores=True)
+    assert broken == [], f"logs in {tmp_path}"
+
+
 async def test_promises_hold_with_gateways(tmp_path):
     """Nine entry VMs share 12 connections; gateways are killed, paused and cut off."""
     broken = await run_seed(7, FAULT_S, tmp_path, nodes=9, connections=12)
