Connections: no growth right after a start

Also, each process opened its connection for orders at once. Ruled out: a smaller resting number, since load lets it grow again before the loss. Test: fails without it.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -121,7 +121,7 @@
         self._open_to_server = open_to_server
         self._clock = clock
         self._reserved = ORDER_CONNECTIONS
-        self._growth = ConnectionGrowth()
+        self._growth = ConnectionGrowth(clock())
         self._full_until_s: float | None = None
         self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
--- a/pollencleat/routing/replica_positions.py
+++ b/pollencleat/routing/replica_positions.py
@@ -22,6 +22,7 @@
 from pollencleat.core.blackboard import Blackboard, ServerView
 from pollencleat.core.bounds import AcknowledgedBounds, is_before
 from pollencleat.core.data import DatabaseGroup, Position
+from pollencleat.limits.growth import DEAD_CONNECTIONS_COUNTED_S
 from pollencleat.limits.shares import connections_allowed, reserved_connections
 from pollencleat.membership.permits import writable_term
 
@@ -93,13 +94,19 @@
             known = self._known_since.get(server_id)
             if known is None or known[0] != server.born_ms:
                 self._known_since[server_id] = (server.born_ms, now_s)
-                if reserved_connections(self._board, server_id) > 0:
-                    # Opens the connection that later shows that it did not restart.
-                    self._request_probe(server_id)
+            elif now_s - known[1] > DEAD_CONNECTIONS_COUNTED_S:
+                self._open_connection(server_id)
         for server_id in set(self._known_since) - set(servers_by_id):
             del self._known_since[server_id]
             self._received_by_server.pop(server_id, None)
 
+    def _open_connection(self, server_id: str) -> None:
+        """Have a connection opened that later shows that the server did not restart."""
+        if self._board.server_view(server_id).status is not None:
+            return
+        if reserved_connections(self._board, server_id) > 0:
+            self._request_probe(server_id)
+
     def _record_bound(self, group: DatabaseGroup, now_s: float) -> None:
         board = self._board
         term = board.group_term(group.group_id)
--- a/pollencleat/routing/replica_positions_test.py
+++ b/pollencleat/routing/replica_positions_test.py
@@ -127,9 +127,10 @@
 
 def test_nothing_is_asked_while_no_read_wants_it_or_the_primary_answers():
     replicas = Replicas()
+    for server_id in "prs":
+        replicas.report(server_id, 40, NOW_S - 5.0)
     replicas.controller.tick(NOW_S + BOUND_WANTED_S + 0.1)
     assert not replicas.probed
-    replicas = Replicas()
     replicas.board.fleet.terms_by_group["g"] = GroupTerm("g", 2, "p")
     replicas.board.fleet_confirmed_at_s = NOW_S
     replicas.controller.tick(NOW_S)
