Promotion: detection, start and steering of attempts are modules of their own

Nothing decides otherwise: the moved methods are the same but for names. bench/fakes.py no longer imports bench/mutations.py: a world gets the change of its nodes as a function.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -166,10 +166,16 @@
 class World:
     """All fakes, and the queue of scheduled actions."""
 
-    def __init__(self, seed: int, mutation: str = "") -> None:
+    def __init__(
+        self,
+        seed: int,
+        mutation: str = "",
+        mutate_node: Callable[["FakeNode"], None] | None = None,
+    ) -> None:
         """Create three nodes and one group of three servers."""
         self.random = random.Random(seed)
         self.mutation = mutation
+        self._mutate_node = mutate_node
         self.now_s = 1000.0
         self._sequence = itertools.count()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -258,16 +264,10 @@
         seeds = tuple(name for name in ("na", "nb", "nc") if name != node_id)
         node = FakeNode(node_id, board, Node(board, timers, seeds), timers)
         self.nodes[node_id] = node
-        self._apply_mutation(node)
+        if self._mutate_node is not None:
+            self._mutate_node(node)
         self._run_node(node)
 
-    def _apply_mutation(self, node: FakeNode) -> None:
-        from bench.mutations import MUTATIONS
-
-        mutate = MUTATIONS.get(self.mutation)
-        if mutate is not None:
-            mutate(node)
-
     def _run_node(self, node: FakeNode) -> None:
         if not node.alive:
             return
--- a/bench/fleet_test.py
+++ b/bench/fleet_test.py
@@ -16,6 +16,7 @@
     GuaranteeViolationError,
     World,
 )
+from bench.mutations import MUTATIONS
 from pollencleat.membership.permits import writable_term
 
 NODES = ("na", "nb", "nc")
@@ -194,8 +195,12 @@
 TestFleet = FleetMachine.TestCase
 
 
+def make_world(seed, mutation):
+    return World(seed, mutation, MUTATIONS.get(mutation))
+
+
 def run_random_faults(seed, mutation="", steps=40):
-    world = World(seed, mutation)
+    world = make_world(seed, mutation)
     faults = Faults(world, random.Random(seed))
     world.advance(5.0)
     for _ in range(steps):
@@ -242,7 +247,7 @@
 
 def pause_between_commit_and_result(mutation):
     """Pause a node after its write was committed and before the result arrives."""
-    world = World(1, mutation)
+    world = make_world(1, mutation)
     world.advance(8.0)
     primary = current_primary(world)
     session = FakeSession("s", True)
@@ -263,7 +268,7 @@
 
     The node then processes the messages that arrived between the pause and the cut.
     """
-    world = World(1, mutation)
+    world = make_world(1, mutation)
     world.advance(8.0)
     domain = DOMAIN_BY_SERVER[current_primary(world)]
     node_id = f"n{domain}"
--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -9,13 +9,13 @@
 
 
 def _skip_permit_wait(node: FakeNode) -> None:
-    original = node.node.promotion._advance_stopping
+    original = node.node.promotion.steering._advance_stopping
 
     def advance(attempt, now_s):
         attempt.stop_deadline_s = 0.0
         original(attempt, now_s)
 
-    node.node.promotion._advance_stopping = advance
+    node.node.promotion.steering._advance_stopping = advance
 
 
 def _count_unknown_versions(node: FakeNode) -> None:
@@ -64,7 +64,7 @@
         )
 
     node.node.promotion._may_start = may_start
-    node.node.promotion._rank = lambda group_id, among=None: 0
+    node.node.promotion.detector._rank = lambda group_id, among=None: 0
 
 
 def _write_during_promotion(node: FakeNode) -> None:
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -31,14 +31,14 @@
 from pollencleat.core.index import rank_members
 from pollencleat.core.messages import Sighting, StopWrites, WritesStopped
 from pollencleat.promotion.attempt import REMOVED_PERMIT_EXPIRY_S, Phase
-from pollencleat.promotion.controller import (
+from pollencleat.promotion.controller import PromotionController
+from pollencleat.promotion.detection import (
     PEER_ANSWER_TIMEOUT_S,
-    PUBLISH_PURPOSE,
     START_RANK_DELAY_S,
     UNDELAYED_ASKERS,
     WARM_UP_S,
-    PromotionController,
 )
+from pollencleat.promotion.steering import PUBLISH_PURPOSE
 from pollencleat.promotion.suspicion import make_sighting
 from pollencleat.routing.freshness import record_status_failure
 
