Gateways: no more statements at a server than its slots can soon run

Hypothesis: six gateways with four connections each have up to 24 statements at a primary with 3 slots; those wait there in the order of arrival, so that neither priority nor the length of work counts. Change: a gateway grants a connection only while its part of two statements a slot runs; a transaction that pauses does not count. Tests: limits/queue_test.py (state machine), limits/shares_test.py.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -96,6 +96,14 @@
         """
         self.pool.return_connection(self, reusable)
 
+    def set_running(self, is_running: bool) -> None:
+        """Tell the pool that a transaction pauses or goes on.
+
+        Args:
+            is_running: Whether a statement runs on the connection.
+        """
+        self.pool.set_running(self, is_running)
+
 
 class ServerPool:
     """Opens, leases and closes connections within this node's share.
@@ -361,6 +369,17 @@
             self._close(lease.connection)
         self._wake(self.queue.release(lease.ticket, self._clock()))
 
+    def set_running(self, lease: Lease, is_running: bool) -> None:
+        """Note that the transaction of a lease pauses or goes on.
+
+        Args:
+            lease: A lease; does nothing if it has ended.
+            is_running: Whether a statement runs on its connection.
+        """
+        if lease not in self._leases:
+            return
+        self._wake(self.queue.set_running(lease.ticket, is_running, self._clock()))
+
     async def warm_up(self, count: int, term: int) -> None:
         """Open idle connections in advance.
 
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -11,6 +11,7 @@
     connections_allowed,
     reserved_connections,
     resting_connections,
+    running_limit,
     usable_share,
 )
 
@@ -142,6 +143,7 @@
 
     def _allow(self, pool: ServerPool, connections: int) -> None:
         server_id = pool.server.server_id
+        pool.queue.running_limit = running_limit(self.board, server_id)
         pool.allow(
             connections,
             reserved_connections(self.board, server_id),
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -385,6 +385,7 @@
                 raise TransactionLostError("the write permit lapsed")
             transaction.has_written = True
         limit_s = transaction.route.statement_limit_ms / 1000
+        lease.set_running(True)
         try:
             reply = await self._restore_and_run(
                 lease, work, None, limit_s, transaction.route
@@ -393,6 +394,8 @@
             raise TransactionLostError(
                 f"connection lost: {describe_error(error)}"
             ) from error
+        finally:
+            lease.set_running(False)
         transaction.last_used_at_s = self.access.clock()
         if reply.failure is not None:
             raise self._transaction_error(reply)
--- a/pollencleat/hops/borrower.py
+++ b/pollencleat/hops/borrower.py
@@ -221,6 +221,9 @@
         """
         self.borrower.release(self, reusable)
 
+    def set_running(self, is_running: bool) -> None:
+        """Do nothing: the gateway sees itself when a call runs."""
+
 
 @dataclass(frozen=True, slots=True)
 class _PendingRequest:
--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -333,6 +333,7 @@
         access = self._access
         server = active_lease.pool_lease.pool.server
         sent_at_s = access.clock()
+        active_lease.pool_lease.set_running(True)
         try:
             call = start_call(
                 active_lease.pool_lease.connection, message.call, message.arguments
@@ -351,6 +352,7 @@
             self._send(message.node_id, answer)
         finally:
             active_lease.running_call = None
+            active_lease.pool_lease.set_running(False)
             if active_lease.close_after_call:
                 self._end_lease(message.lease_id, False)
 
--- a/pollencleat/limits/queue.py
+++ b/pollencleat/limits/queue.py
@@ -64,6 +64,8 @@
         rank: Priority and class of the expected duration when the ticket was queued;
             lower ranks are granted first.
         granted_at_s: Local time at which a connection was granted, or None.
+        is_running: Whether a statement runs on the connection; False while a
+            transaction pauses.
         granted_future: Future that the caller attaches to wait for the grant; not used
             by the queue.
     """
@@ -73,6 +75,7 @@
     kind: WorkKind = ANY_WORK
     rank: tuple[int, int] = (0, 0)
     granted_at_s: float | None = None
+    is_running: bool = False
     granted_future: object = None
 
 
@@ -112,6 +115,9 @@
     Attributes:
         capacity: Number of statements that may run at the same time.
         in_use: Number of granted tickets that have not been released.
+        running: Number of these on whose connections statements run.
+        running_limit: Largest number of running ones at which another ticket is
+            granted; None for no limit but the capacity.
         service_times: Observed durations.
         waiting_by_customer: Waiting tickets by client account, the next account first.
         waiting: Number of waiting tickets.
@@ -121,6 +127,8 @@
         """Start empty, with a capacity in concurrent statements."""
         self.capacity = capacity
         self.in_use = 0
+        self.running = 0
+        self.running_limit: int | None = None
         self.service_times = ServiceTimes()
         self.waiting_by_customer: OrderedDict[str, deque[Ticket]] = OrderedDict()
         self.waiting = 0
@@ -148,7 +156,7 @@
         Returns:
             Seconds, estimated from the number of tickets that are granted before it.
         """
-        if self.in_use < self.capacity and not self.waiting:
+        if self._has_room() and not self.waiting:
             return 0.0
         own = len(self.waiting_by_customer.get(customer_id, ()))
         return self._wait_behind_s(
@@ -156,7 +164,10 @@
         )
 
     def _wait_behind_s(self, ahead: int) -> float:
-        return (ahead + 1) * self.service_times.mean_s / max(1, self.capacity)
+        places = self.capacity
+        if self.running_limit is not None:
+            places = min(places, self.running_limit)
+        return (ahead + 1) * self.service_times.mean_s / max(1, places)
 
     def _count_ahead(self, customer_id: str, rank: tuple[int, int], own: int) -> int:
         """Return how many tickets are granted before one of a rank.
@@ -191,7 +202,7 @@
         Returns:
             The reason for a refusal, or None.
         """
-        if self.in_use < self.capacity and not self.waiting:
+        if self._has_room() and not self.waiting:
             self._grant(ticket, now_s)
             return None
         if self.capacity <= 0:
@@ -242,9 +253,35 @@
             Waiting tickets that are granted in turn.
         """
         self.in_use -= 1
+        self._note_running(ticket, False)
         self.service_times.record(ticket.kind, now_s - ticket.granted_at_s)
         return self.grant_waiting(now_s)
 
+    def set_running(
+        self, ticket: Ticket, is_running: bool, now_s: float
+    ) -> list[Ticket]:
+        """Note that a transaction pauses or goes on.
+
+        Args:
+            ticket: A granted ticket; one that goes on does not wait.
+            is_running: Whether a statement runs on its connection.
+            now_s: Local time.
+
+        Returns:
+            Waiting tickets that are granted in turn.
+        """
+        self._note_running(ticket, is_running)
+        return self.grant_waiting(now_s)
+
+    def _note_running(self, ticket: Ticket, is_running: bool) -> None:
+        self.running += is_running - ticket.is_running
+        ticket.is_running = is_running
+
+    def _has_room(self) -> bool:
+        if self.in_use >= self.capacity:
+            return False
+        return self.running_limit is None or self.running < self.running_limit
+
     def grant_waiting(self, now_s: float) -> list[Ticket]:
         """Grant as many waiting tickets as the capacity allows.
 
@@ -255,7 +292,7 @@
             The granted tickets.
         """
         granted = []
-        while self.in_use < self.capacity and self.waiting:
+        while self._has_room() and self.waiting:
             ticket = self._pop_next()
             if ticket.deadline_s <= now_s:
                 continue
@@ -284,6 +321,7 @@
     def _grant(self, ticket: Ticket, now_s: float) -> None:
         ticket.granted_at_s = now_s
         self.in_use += 1
+        self._note_running(ticket, True)
 
     def _pop_next(self) -> Ticket:
         """Remove the ticket of the lowest rank, or the next in turn now and then."""
--- a/pollencleat/limits/queue_test.py
+++ b/pollencleat/limits/queue_test.py
@@ -69,6 +69,19 @@
         for ticket in self.queue.pop_hopeless(self.now_s):
             self.waiting.remove(ticket)
 
+    @rule(data=st.data(), is_running=st.booleans())
+    def pause_or_go_on(self, data, is_running):
+        if not self.running:
+            return
+        ticket = data.draw(st.sampled_from(self.running))
+        for granted in self.queue.set_running(ticket, is_running, self.now_s):
+            self.waiting.remove(granted)
+            self.running.append(granted)
+
+    @rule(limit=st.none() | st.integers(1, CAPACITY))
+    def limit_running(self, limit):
+        self.queue.running_limit = limit
+
     @rule(seconds=st.floats(0, 4))
     def wait(self, seconds):
         self.now_s += seconds
@@ -77,6 +90,10 @@
     def capacity_is_never_exceeded(self):
         assert self.queue.in_use == len(self.running) <= CAPACITY
 
+    @invariant()
+    def running_statements_are_counted(self):
+        assert self.queue.running == sum(item.is_running for item in self.running)
+
     @invariant()
     def no_ticket_waits_while_a_connection_is_free(self):
         live = [item for item in self.waiting if item.deadline_s > self.now_s]
@@ -222,3 +239,14 @@
     ]
     assert serve(classes, 1.3) > serve(classes, 1.3, knows_kinds=False) + 0.03
     assert serve(classes, 0.7) > 0.99
+
+
+def test_a_paused_transaction_leaves_its_turn_to_others():
+    queue = ServerQueue(3)
+    queue.running_limit = 1
+    transaction, other = Ticket("a", 100.0), Ticket("a", 100.0)
+    queue.offer(transaction, 10, 0.0)
+    assert queue.offer(other, 10, 0.0) is None and other.granted_at_s is None
+    assert queue.set_running(transaction, False, 1.0) == [other]
+    assert queue.set_running(transaction, True, 1.1) == []
+    assert queue.running == 2 and queue.in_use == 2
--- a/pollencleat/limits/shares.py
+++ b/pollencleat/limits/shares.py
@@ -7,14 +7,24 @@
 of connections.
 """
 
+import math
+
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.inventory.forecast import connection_share
-from pollencleat.limits.gateways import gateway_share, is_pooled_at_gateways
+from pollencleat.limits.gateways import (
+    gateway_share,
+    is_pooled_at_gateways,
+    list_gateways,
+)
 from pollencleat.limits.growth import resting_share
 
 ORDER_CONNECTIONS = 1
 """Connections of a share that are reserved for orders and probes."""
 
+RUNNING_PER_SLOT = 2.0
+"""Statements that all gateways together send to a server for each of its slots; one
+waits while another runs, so that no slot is idle between two answers."""
+
 INVENTORY_PROPAGATION_S = 4.0
 """Seconds after which an accepted inventory is in force on every reachable node."""
 
@@ -81,6 +91,28 @@
     return resting_share(max(0, connections - ORDER_CONNECTIONS))
 
 
+def running_limit(board: Blackboard, server_id: str) -> int | None:
+    """Return how many statements this node may have running on a server at a time.
+
+    Load pattern: several gateways that do not see each other send a server more than it
+    has slots for.  The rest waits at the server in the order of arrival, where no
+    gateway can put urgent or short work first or refuse what comes too late.
+
+    Args:
+        board: The node's state.
+        server_id: The server.
+
+    Returns:
+        The gateway's part of RUNNING_PER_SLOT statements for each slot; None where
+        nodes hold their own connections, of which there are few.
+    """
+    server = board.inventory.servers_by_id.get(server_id)
+    if server is None or not is_pooled_at_gateways(board, server):
+        return None
+    gateways = sum(len(members) for members in list_gateways(board, server).values())
+    return max(1, math.ceil(RUNNING_PER_SLOT * server.slots / max(1, gateways)))
+
+
 def usable_share(held: int, allowed: int, known_for_s: float) -> int:
     """Return how many connections of a changed share may be used now.
 
--- a/pollencleat/limits/shares_test.py
+++ b/pollencleat/limits/shares_test.py
@@ -12,6 +12,7 @@
     INVENTORY_PROPAGATION_S,
     connections_allowed,
     reserved_connections,
+    running_limit,
     usable_share,
 )
 
@@ -68,6 +69,15 @@
     assert reserved_connections(owner_board, "s") == 1
 
 
+def test_gateways_send_a_server_little_more_than_its_slots_can_run():
+    """Load pattern (grown Volta, trouble-3): six gateways with four connections each
+    had up to 24 statements at a primary with 3 slots, which waited there in the order
+    of arrival, urgent ones among them."""
+    board = make_board_with_seats(connections=60, seats=26)
+    assert running_limit(board, "s") == 2 * 6
+    assert running_limit(make_board_with_seats(34, 5), "s") is None
+
+
 def make_board_with_seats(connections, seats):
     board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
     server = BackendServer("s", "g", "h", 1, "a", 6, connections)
