--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -550,6 +550,8 @@
     assert all(at_s < restored_at_s + 1.0 for at_s in write_failures_at_s)
     fleet = cluster.nodes[0].board.fleet
     assert set(fleet.members_by_id) == {"node-0", "node-1", "node-2"}
+    counts = [node.metrics.counts[("store_restored", "")] for node in cluster.nodes]
+    assert sum(counts) >= 1
 
 
 async def test_a_fleet_that_knew_nothing_of_before_serves_again(cluster):
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -161,6 +161,8 @@
         board = self._board
         sent_at_s = self._clock()
         state = await self._store.read_state(board)
+        if board.fleet.version and state.era > board.store_era:
+            self._metrics.count("store_restored")
         self._deliver(
             PlatformRead(sent_at_s, state.fleet, state.inventory, state.vms, state.era)
         )
