Engine: reads, writes, transactions and their shared steps are modules of their own

The mutation of unknown outcomes is two now, one for single writes and one for commits, since both modules raise them.

--- a/pollencleat/engine/sessions_test.py
+++ b/pollencleat/engine/sessions_test.py
@@ -28,8 +28,14 @@
     Route,
     ServerStatus,
 )
-from pollencleat.core.errors import BackendLostError, CallerError
-from pollencleat.engine import executor as executor_module
+from pollencleat.core.errors import (
+    BackendLostError,
+    CallerError,
+    WritesUnavailableError,
+)
+from pollencleat.engine import steps as steps_module
+from pollencleat.engine import transactions as transactions_module
+from pollencleat.engine import writes as writes_module
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.executor import SessionExecutor
 from pollencleat.engine.session import SessionState
@@ -506,17 +512,17 @@
 original_return_connection = ServerPool.return_connection
 mutations = {
     "values of another session remain": (
-        executor_module,
+        steps_module,
         "restore_values",
         keep_other_session_values,
     ),
     "a refused SetValue is recorded as set": (
-        executor_module,
+        steps_module,
         "restore_values",
         ignore_refused_set_value,
     ),
     "all prepared statements share one name": (
-        executor_module,
+        steps_module,
         "restore_shape",
         prepare_under_one_name,
     ),
@@ -526,9 +532,14 @@
         return_every_connection,
     ),
     "writes with unknown outcome are reported as not run": (
-        executor_module,
+        writes_module,
+        "UnknownOutcomeError",
+        WritesUnavailableError,
+    ),
+    "commits with unknown outcome are reported as not run": (
+        transactions_module,
         "UnknownOutcomeError",
-        executor_module.WritesUnavailableError,
+        WritesUnavailableError,
     ),
 }
 
