Connections: growth rests after a crash, not after every start

Change: no growth while servers may count the connections of a member that crashed, known from the fleet state; a waiting statement tries to grow the pool again and again, not once. Found on the way: a statement that could not grow the pool when it began to wait never tried again; its test hung for ten minutes and ended by my hand. Tests: backend/pool_test.py, the test above passes again.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -129,7 +129,7 @@
         self._open_to_server = open_to_server
         self._clock = clock
         self._reserved = ORDER_CONNECTIONS
-        self._growth = ConnectionGrowth(clock())
+        self._growth = ConnectionGrowth()
         self._full_until_s: float | None = None
         self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
@@ -155,6 +155,14 @@
         self._growth.set_share(share, share if resting is None else resting)
         self._apply_capacity()
 
+    def hold_growth(self, until_s: float) -> None:
+        """Use no more than the resting connections for a while.
+
+        Args:
+            until_s: Local time.
+        """
+        self._growth.held_until_s = until_s
+
     def _apply_capacity(self) -> None:
         """Close idle connections beyond the allowed number and grant what it allows."""
         self.queue.capacity = self._growth.capacity
@@ -262,9 +270,10 @@
         self._refuse_hopeless()
         try:
             async with asyncio.timeout(max(0.0, ticket.deadline_s - self._clock())):
-                await asyncio.wait((granted,), timeout=self._growth.mean_open_s)
-                if not granted.done():
-                    self._grow()
+                while not granted.done():
+                    await asyncio.wait((granted,), timeout=self._growth.mean_open_s)
+                    if not granted.done():
+                        self._grow()
                 await granted
         except TimeoutError:
             self._leave_queue(ticket)
--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -7,6 +7,7 @@
 from pollencleat.backend.pool import ServerPool
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import BackendServer, GroupTerm, Inventory
+from pollencleat.limits.growth import DEAD_CONNECTIONS_COUNTED_S
 from pollencleat.limits.shares import (
     connections_allowed,
     reserved_connections,
@@ -89,7 +90,9 @@
         """Adapt the pools to the inventory, this node's share and the groups' terms."""
         if self.board.inventory is not self._applied_inventory:
             self._apply_inventory()
+        growth_held_until_s = self.board.last_crash_at_s() + DEAD_CONNECTIONS_COUNTED_S
         for server_id, pool in self.pools_by_server.items():
+            pool.hold_growth(growth_held_until_s)
             allowed = usable_share(
                 pool.allowed,
                 connections_allowed(self.board, server_id),
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -329,6 +329,23 @@
         """
         return self.fleet.terms_by_group.get(group_id)
 
+    def last_crash_at_s(self) -> float:
+        """Return when this node last learned of the crash of a member.
+
+        A crashed member is one that was removed without having resigned.
+
+        Returns:
+            Local time; before every event if none is recorded.
+        """
+        return max(
+            (
+                self.removal_learned_at_s[incarnation]
+                for incarnation, entry in self.fleet.removed_by_incarnation.items()
+                if not entry.resigned
+            ),
+            default=-1e9,
+        )
+
     def server_view(self, server_id: str) -> ServerView:
         """Return the state of a server, creating an empty one if there is none.
 
--- a/pollencleat/limits/growth.py
+++ b/pollencleat/limits/growth.py
@@ -7,8 +7,8 @@
 
 A node therefore rests at half of its share, so that two generations fit at the same
 time.  It uses the rest only while statements wait longer than it takes to open another
-connection, and gives it back when it is no longer needed.  Right after a start, when
-every new process is under pressure, it uses no more than the resting number.
+connection, and gives it back when it is no longer needed.  After a crash of a member,
+when every other process is under pressure, it uses no more than the resting number.
 """
 
 from dataclasses import dataclass
@@ -48,12 +48,12 @@
         share: Connections that may be open under pressure.
         resting: Connections that may be open without pressure.
         capacity: Connections that may be open now.
-        started_at_s: When the pool was created.
+        held_until_s: Until when the pool uses no more than the resting number.
         mean_open_s: Moving average of the time to open a connection, in seconds.
         needed_at_s: When more than the resting number was last in use.
     """
 
-    started_at_s: float = -1e9
+    held_until_s: float = -1e9
     share: int = 0
     resting: int = 0
     capacity: int = 0
@@ -83,11 +83,11 @@
 
         Returns:
             False if the whole share is allowed already, or if the server may still
-            count connections of a process that this one replaces.
+            count the connections of a member that crashed.
         """
         if self.capacity >= self.share:
             return False
-        if now_s - self.started_at_s < DEAD_CONNECTIONS_COUNTED_S:
+        if now_s < self.held_until_s:
             return False
         self.capacity += 1
         self.needed_at_s = now_s
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -156,7 +156,7 @@
         seen_by_incarnation={
             board.incarnation: board.seen_positions(now_s).get(term.group_id)
         },
-        last_crash_at_s=find_last_crash(board),
+        last_crash_at_s=board.last_crash_at_s(),
         known_position_by_server={
             server_id: view.status.received_position
             for server_id, view in board.servers_by_id.items()
@@ -182,27 +182,6 @@
     return is_first and attempt.phase is Phase.STOPPING
 
 
-def find_last_crash(board: Blackboard) -> float:
-    """Return until when a crashed member may have acknowledged commits.
-
-    A crashed member is one that was removed without having resigned.
-
-    Args:
-        board: The node's state.
-
-    Returns:
-        Local time.  A primary's answer to a request sent later covers all commits that
-        crashed members acknowledged.
-    """
-    last_crash_at_s = -1e9
-    for incarnation, entry in board.fleet.removed_by_incarnation.items():
-        if not entry.resigned:
-            last_crash_at_s = max(
-                last_crash_at_s, board.removal_learned_at_s[incarnation]
-            )
-    return last_crash_at_s
-
-
 def is_current_promoter(
     board: Blackboard, group_id: str, term: int, now_s: float
 ) -> bool:
