Queue: pauses are no work, and only overtaken tickets are looked at again

Read in the code: at gateways the wait was estimated from the time of whole leases, pauses of transactions included, although others run meanwhile; and every arrival looked at every pair of waiting tickets. Tests: limits/queue_test.py.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -267,7 +267,7 @@
             return
         granted = asyncio.get_running_loop().create_future()
         ticket.granted_future = granted
-        self._refuse_hopeless()
+        self._refuse_overtaken(ticket)
         try:
             async with asyncio.timeout(max(0.0, ticket.deadline_s - self._clock())):
                 while not granted.done():
@@ -284,13 +284,13 @@
             self._leave_queue(ticket)
             raise
 
-    def _refuse_hopeless(self) -> None:
-        """Refuse the tickets that later arrivals have pushed beyond their deadline."""
-        for ticket in self.queue.pop_hopeless(self._clock()):
-            if not ticket.granted_future.done():
-                ticket.granted_future.set_exception(
-                    self._overloaded(ticket, Refusal.DEADLINE.value)
-                )
+    def _refuse_overtaken(self, newcomer: Ticket) -> None:
+        """Refuse the tickets that a new one has pushed beyond their deadline."""
+        for ticket in self.queue.pop_overtaken(newcomer, self._clock()):
+            if ticket.granted_future.done():
+                continue
+            error = self._overloaded(ticket, Refusal.DEADLINE.value)
+            ticket.granted_future.set_exception(error)
 
     def _leave_queue(self, ticket: Ticket) -> None:
         if self.queue.withdraw(ticket) or ticket.granted_at_s is None:
--- a/pollencleat/limits/queue.py
+++ b/pollencleat/limits/queue.py
@@ -1,8 +1,8 @@
 """Admission queue of one backend server, fair among client accounts.
 
 A ticket is refused on arrival if its expected wait ends after its deadline, when later
-arrivals push its expected wait beyond its deadline, or when the deadline passes in the
-queue.  In all cases its statement has not run.
+arrivals that go before it push it beyond its deadline, or when the deadline passes in
+the queue.  In all cases its statement has not run.
 
 Load pattern: more work than a server can do, because the other servers of its group lag
 or are gone.  Some callers are refused whatever the order is.  Among tickets of the same
@@ -66,6 +66,8 @@
         granted_at_s: Local time at which a connection was granted, or None.
         is_running: Whether a statement runs on the connection; False while a
             transaction pauses.
+        running_since_s: Local time of the last change of is_running.
+        busy_s: Seconds for which statements ran before that.
         granted_future: Future that the caller attaches to wait for the grant; not used
             by the queue.
     """
@@ -76,6 +78,8 @@
     rank: tuple[int, int] = (0, 0)
     granted_at_s: float | None = None
     is_running: bool = False
+    running_since_s: float = 0.0
+    busy_s: float = 0.0
     granted_future: object = None
 
 
@@ -221,23 +225,28 @@
         self.waiting += 1
         return None
 
-    def pop_hopeless(self, now_s: float) -> list[Ticket]:
-        """Remove the waiting tickets that can no longer be granted in time.
-
-        Tickets that are granted first may arrive after them.
+    def pop_overtaken(self, newcomer: Ticket, now_s: float) -> list[Ticket]:
+        """Remove the tickets that a new one has pushed beyond their deadline.
 
         Args:
+            newcomer: The ticket that was queued last.
             now_s: Local time.
 
         Returns:
-            The removed tickets.
+            The removed tickets, all of a higher rank than the new one.
         """
-        hopeless = []
-        for customer_id, tickets in self.waiting_by_customer.items():
-            for own, ticket in enumerate(tickets):
-                ahead = self._count_ahead(customer_id, ticket.rank, own)
-                if now_s + self._wait_behind_s(ahead - 1) > ticket.deadline_s:
-                    hopeless.append(ticket)
+        overtaken = [
+            ticket
+            for tickets in self.waiting_by_customer.values()
+            for ticket in tickets
+            if ticket.rank > newcomer.rank
+        ]
+        certainly_ahead = self.waiting - len(overtaken)
+        hopeless = [
+            ticket
+            for ticket in overtaken
+            if now_s + self._wait_behind_s(certainly_ahead) > ticket.deadline_s
+        ]
         for ticket in hopeless:
             self.withdraw(ticket)
         return hopeless
@@ -253,8 +262,12 @@
             Waiting tickets that are granted in turn.
         """
         self.in_use -= 1
-        self._note_running(ticket, False)
-        self.service_times.record(ticket.kind, now_s - ticket.granted_at_s)
+        self._note_running(ticket, False, now_s)
+        duration_s = now_s - ticket.granted_at_s
+        if self.running_limit is not None:
+            # A transaction that pauses leaves its turn to others.
+            duration_s = ticket.busy_s
+        self.service_times.record(ticket.kind, duration_s)
         return self.grant_waiting(now_s)
 
     def set_running(
@@ -270,12 +283,15 @@
         Returns:
             Waiting tickets that are granted in turn.
         """
-        self._note_running(ticket, is_running)
+        self._note_running(ticket, is_running, now_s)
         return self.grant_waiting(now_s)
 
-    def _note_running(self, ticket: Ticket, is_running: bool) -> None:
+    def _note_running(self, ticket: Ticket, is_running: bool, now_s: float) -> None:
+        if ticket.is_running:
+            ticket.busy_s += now_s - ticket.running_since_s
         self.running += is_running - ticket.is_running
         ticket.is_running = is_running
+        ticket.running_since_s = now_s
 
     def _has_room(self) -> bool:
         if self.in_use >= self.capacity:
@@ -321,7 +337,7 @@
     def _grant(self, ticket: Ticket, now_s: float) -> None:
         ticket.granted_at_s = now_s
         self.in_use += 1
-        self._note_running(ticket, True)
+        self._note_running(ticket, True, now_s)
 
     def _pop_next(self) -> Ticket:
         """Remove the ticket of the lowest rank, or the next in turn now and then."""
--- a/pollencleat/limits/queue_test.py
+++ b/pollencleat/limits/queue_test.py
@@ -38,10 +38,13 @@
         ticket = Ticket(customer, self.now_s + WAIT_S, WorkKind(name, priority))
         if self.queue.offer(ticket, LIMIT, self.now_s) is not None:
             return
-        if ticket.granted_at_s is None:
-            self.waiting.append(ticket)
-        else:
+        if ticket.granted_at_s is not None:
             self.running.append(ticket)
+            return
+        self.waiting.append(ticket)
+        for overtaken in self.queue.pop_overtaken(ticket, self.now_s):
+            assert overtaken is not ticket
+            self.waiting.remove(overtaken)
 
     @rule(data=st.data())
     def release(self, data):
@@ -64,11 +67,6 @@
         assert is_withdrawn or ticket.deadline_s <= self.now_s
         self.waiting.remove(ticket)
 
-    @rule()
-    def refuse_hopeless(self):
-        for ticket in self.queue.pop_hopeless(self.now_s):
-            self.waiting.remove(ticket)
-
     @rule(data=st.data(), is_running=st.booleans())
     def pause_or_go_on(self, data, is_running):
         if not self.running:
@@ -182,10 +180,23 @@
     queue, _ = make_full_queue()
     overtaken = Ticket("a", 0.1, LONG)
     assert queue.offer(overtaken, 1000, 0.0) is None
-    assert queue.pop_hopeless(0.0) == []
+    refused = []
     for _ in range(6):
-        queue.offer(Ticket("b", 1e9, SHORT), 1000, 0.0)
-    assert queue.pop_hopeless(0.0) == [overtaken]
+        newcomer = Ticket("b", 1e9, SHORT)
+        queue.offer(newcomer, 1000, 0.0)
+        refused += queue.pop_overtaken(newcomer, 0.0)
+    assert refused == [overtaken]
+
+
+def test_a_pause_does_not_count_as_work_where_others_use_it():
+    queue = ServerQueue(3)
+    queue.running_limit = 1
+    transaction = Ticket("a", 100.0, SHORT)
+    queue.offer(transaction, 10, 0.0)
+    queue.set_running(transaction, False, 0.01)
+    queue.set_running(transaction, True, 5.0)
+    queue.release(transaction, 5.01)
+    assert queue.service_times.mean_s_by_kind["short"] == pytest.approx(0.02)
 
 
 def serve(classes, load, knows_kinds=True):
@@ -221,10 +232,11 @@
             ticket.kind = kind
         duration_by_ticket[ticket] = duration_s
         offered += 1
-        queue.offer(ticket, 512, now_s)
-        queue.pop_hopeless(now_s)
+        refusal = queue.offer(ticket, 512, now_s)
         if ticket.granted_at_s is not None:
             start(ticket, now_s)
+        elif refusal is None:
+            queue.pop_overtaken(ticket, now_s)
     return served / offered
 
 
