--- a/bench/inprocess.py
+++ b/bench/inprocess.py
@@ -10,9 +10,10 @@
 from aiohttp import web
 from mysql_mimic.auth import NativePasswordAuthPlugin
 
+from pollencleat.administration.node import AdminToken
 from pollencleat.backend.pool import Credentials
 from pollencleat.daemon.application import Application
-from pollencleat.daemon.settings import AdminToken, Endpoint, Settings
+from pollencleat.daemon.settings import Endpoint, Settings
 from pollencleat.peers.transport import CurveKeys
 from standins.backend import BackendServer, serve
 from standins.platform import STATE, make_app
--- a/pollencleat/administration/routes.py
+++ b/pollencleat/administration/routes.py
@@ -7,12 +7,13 @@
 import dataclasses
 import difflib
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import pydantic
 from aiohttp import web
 
 from pollencleat.administration.models import ApplyBody, CheckBody, RollbackBody
+from pollencleat.administration.node import AdministeredNode
 from pollencleat.core.errors import InventoryError
 from pollencleat.inventory.forecast import make_forecast
 from pollencleat.inventory.parser import parse_inventory
@@ -25,10 +26,7 @@
 )
 from pollencleat.store.objects import INVENTORY_NAME, decode_inventory
 
-if TYPE_CHECKING:
-    from pollencleat.daemon.application import Application
-
-Handler = Callable[["Application", web.Request, str], Awaitable[web.Response]]
+Handler = Callable[[AdministeredNode, web.Request, str], Awaitable[web.Response]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,36 +90,36 @@
 
 
 @operation("GET", "/health", "", "Liveness of the process")
-async def _health(app: "Application", request: web.Request, author: str):
+async def _health(node: AdministeredNode, request: web.Request, author: str):
     return make_json_response(
-        {"node": app.board.node_id, "draining": app.board.draining}
+        {"node": node.board.node_id, "draining": node.board.draining}
     )
 
 
 @operation("GET", "/metrics", "read", "Metrics in the Prometheus text format")
-async def _metrics(app: "Application", request: web.Request, author: str):
-    return web.Response(body=app.metrics.render(), content_type="text/plain")
+async def _metrics(node: AdministeredNode, request: web.Request, author: str):
+    return web.Response(body=node.metrics.render(), content_type="text/plain")
 
 
 @operation("GET", "/v1/status", "read", "The node's view of members and groups")
-async def _status(app: "Application", request: web.Request, author: str):
-    return make_json_response(make_node_report(app.board, app.timers.clock()))
+async def _status(node: AdministeredNode, request: web.Request, author: str):
+    return make_json_response(make_node_report(node.board, node.timers.clock()))
 
 
 @operation("GET", "/v1/connections", "read", "Open connections to backend servers")
-async def _connections(app: "Application", request: web.Request, author: str):
+async def _connections(node: AdministeredNode, request: web.Request, author: str):
     return make_json_response(
         {
-            "node_id": app.board.node_id,
-            "open_by_server": app.gateway.open_connections(),
+            "node_id": node.board.node_id,
+            "open_by_server": node.gateway.open_connections(),
         }
     )
 
 
 @operation("GET", "/v1/explain", "read", "Which servers may answer a read, and why")
-async def _explain(app: "Application", request: web.Request, author: str):
+async def _explain(node: AdministeredNode, request: web.Request, author: str):
     group_id = request.query.get("group", "")
-    if group_id not in app.board.inventory.groups_by_id:
+    if group_id not in node.board.inventory.groups_by_id:
         raise web.HTTPNotFound(text=f"unknown group {group_id!r}")
     try:
         max_age_s = float(request.query.get("max_age_ms", "10000")) / 1000
@@ -131,12 +129,12 @@
             text=f"max_age_ms or floor is not a number: {error}"
         ) from error
     read = ReadRequest(group_id, floor, max_age_s)
-    return make_json_response(explain_route(app.board, read, app.timers.clock()))
+    return make_json_response(explain_route(node.board, read, node.timers.clock()))
 
 
 @operation("GET", "/v1/inventory", "read", "The inventory in force on the platform")
-async def _inventory(app: "Application", request: web.Request, author: str):
-    stored = await app.store.read_object(INVENTORY_NAME)
+async def _inventory(node: AdministeredNode, request: web.Request, author: str):
+    stored = await node.store.read_object(INVENTORY_NAME)
     return _make_inventory_response(decode_inventory(stored))
 
 
@@ -145,18 +143,18 @@
 
 
 @operation("GET", "/v1/inventory/versions/{version}", "read", "A former inventory")
-async def _inventory_version(app: "Application", request: web.Request, author: str):
+async def _inventory_version(node: AdministeredNode, request: web.Request, author: str):
     version = request.match_info["version"]
     if not version.isdecimal():
         raise web.HTTPBadRequest(text="the inventory version must be a decimal number")
-    inventory = await read_former_inventory(app.store, int(version))
+    inventory = await read_former_inventory(node.store, int(version))
     if inventory is None:
         raise web.HTTPNotFound(text=f"inventory version {version} is not stored")
     return _make_inventory_response(inventory)
 
 
 @operation("POST", "/v1/inventory/check", "read", "Check an inventory", CheckBody)
-async def _check(app: "Application", request: web.Request, author: str):
+async def _check(node: AdministeredNode, request: web.Request, author: str):
     body = CheckBody.model_validate_json(await request.read())
     try:
         inventory = parse_inventory(body.filename, body.text)
@@ -172,9 +170,9 @@
     "Compare with the inventory in force",
     CheckBody,
 )
-async def _diff(app: "Application", request: web.Request, author: str):
+async def _diff(node: AdministeredNode, request: web.Request, author: str):
     body = CheckBody.model_validate_json(await request.read())
-    stored = await app.store.read_object(INVENTORY_NAME)
+    stored = await node.store.read_object(INVENTORY_NAME)
     current = decode_inventory(stored)
     return make_json_response(
         {
@@ -202,10 +200,10 @@
 
 
 @operation("PUT", "/v1/inventory", "apply", "Apply an inventory", ApplyBody)
-async def _apply(app: "Application", request: web.Request, author: str):
+async def _apply(node: AdministeredNode, request: web.Request, author: str):
     body = ApplyBody.model_validate_json(await request.read())
     accepted = await apply_inventory(
-        app.store,
+        node.store,
         body.text,
         body.expected_version,
         author,
@@ -222,23 +220,23 @@
     "Apply a former version again",
     RollbackBody,
 )
-async def _rollback(app: "Application", request: web.Request, author: str):
+async def _rollback(node: AdministeredNode, request: web.Request, author: str):
     body = RollbackBody.model_validate_json(await request.read())
-    former = await read_former_inventory(app.store, body.to_version)
+    former = await read_former_inventory(node.store, body.to_version)
     if former is None:
         raise web.HTTPNotFound(
             text=f"inventory version {body.to_version} is not stored"
         )
     cause = body.cause or f"rollback to version {body.to_version}"
     accepted = await apply_inventory(
-        app.store, former.source, body.expected_version, author, cause
+        node.store, former.source, body.expected_version, author, cause
     )
     return make_json_response(accepted)
 
 
 @operation("GET", "/v1/audit", "audit", "Accepted changes and promotions")
-async def _audit(app: "Application", request: web.Request, author: str):
-    entries = [*await read_history(app.store), *app.board.fleet.audit]
+async def _audit(node: AdministeredNode, request: web.Request, author: str):
+    entries = [*await read_history(node.store), *node.board.fleet.audit]
     entries.sort(key=lambda entry: entry.at_s)
     for name in ("author", "subject", "change_id"):
         filter_text = request.query.get(name)
@@ -250,12 +248,12 @@
 
 
 @operation("GET", "/v1/forecast", "read", "Next month's resources")
-async def _forecast(app: "Application", request: web.Request, author: str):
-    return make_json_response(make_forecast(app.board.inventory))
+async def _forecast(node: AdministeredNode, request: web.Request, author: str):
+    return make_json_response(make_forecast(node.board.inventory))
 
 
 @operation("GET", "/v1/openapi.json", "", "This document")
-async def _openapi(app: "Application", request: web.Request, author: str):
+async def _openapi(node: AdministeredNode, request: web.Request, author: str):
     return make_json_response(make_openapi_document())
 
 
--- a/pollencleat/administration/server.py
+++ b/pollencleat/administration/server.py
@@ -1,11 +1,12 @@
 """HTTP or HTTPS server of the administration API."""
 
 import hmac
-from typing import TYPE_CHECKING
+import ssl
 
 import pydantic
 from aiohttp import web
 
+from pollencleat.administration.node import AdministeredNode, AdminToken
 from pollencleat.administration.routes import Operation, operations
 from pollencleat.core.errors import (
     AccessDeniedError,
@@ -15,9 +16,6 @@
     StoreError,
 )
 
-if TYPE_CHECKING:
-    from pollencleat.daemon.application import Application
-
 MAX_BODY_BYTES = 2 * 1024 * 1024
 _status_by_error: list[tuple[type[Exception], int]] = [
     (InventoryError, 422),
@@ -36,21 +34,32 @@
         address: URL of the listening socket; empty before ``start``.
     """
 
-    def __init__(self, application: "Application") -> None:
-        """Prepare to serve an application; ``start`` opens the socket."""
-        self._application = application
+    def __init__(
+        self,
+        node: AdministeredNode,
+        tokens: tuple[AdminToken, ...],
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        """Prepare to serve a node; ``start`` opens the socket.
+
+        Args:
+            node: The node.
+            tokens: Tokens that callers may present.
+            tls: TLS context of the listener; None for plain HTTP.
+        """
+        self._node = node
+        self._tokens = tokens
+        self._tls = tls
         self._runner: web.AppRunner | None = None
         self.address = ""
 
     async def start(self, host: str, port: int) -> None:
-        """Start listening, with TLS if the settings name a certificate.
+        """Start listening, with TLS if there is a context for it.
 
         Args:
             host: Address to bind.
             port: Port to bind, or 0 to let the system choose one.
         """
-        from pollencleat.daemon.application import make_tls_context
-
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         for operation in operations:
             app.router.add_route(
@@ -58,11 +67,10 @@
             )
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
-        context = make_tls_context(self._application.settings)
-        site = web.TCPSite(self._runner, host, port, ssl_context=context)
+        site = web.TCPSite(self._runner, host, port, ssl_context=self._tls)
         await site.start()
         bound_host, bound_port = self._runner.addresses[0][:2]
-        scheme = "https" if context else "http"
+        scheme = "https" if self._tls else "http"
         self.address = f"{scheme}://{bound_host}:{bound_port}"
 
     async def stop(self) -> None:
@@ -74,7 +82,7 @@
         async def handle(request: web.Request) -> web.Response:
             try:
                 author = self._authorize(request, operation.role)
-                return await operation.handler(self._application, request, author)
+                return await operation.handler(self._node, request, author)
             except web.HTTPException:
                 raise
             except (PollencleatError, pydantic.ValidationError) as error:
@@ -91,7 +99,7 @@
         )
         author = None
         has_role = False
-        for admin_token in self._application.settings.admin_tokens:
+        for admin_token in self._tokens:
             # Every token is compared, so that timing does not reveal a match.
             if hmac.compare_digest(
                 presented_token.encode(), admin_token.token.encode()
--- a/pollencleat/daemon/application.py
+++ b/pollencleat/daemon/application.py
@@ -12,10 +12,10 @@
 from pollencleat.callers.server import CallerServer
 from pollencleat.core.constants import SAMPLE_INTERVAL_S
 from pollencleat.core.timers import read_boottime_s
+from pollencleat.daemon.gauges import add_gauges
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.daemon.settings import Settings
 from pollencleat.journal.pruning import JournalPruner
-from pollencleat.reports.gauges import add_gauges
 from pollencleat.store.client import StoreClient
 from pollencleat.store.objects import ObjectStore
 
@@ -48,7 +48,9 @@
             CallerIdentityProvider(settings.hashes_by_user),
             make_tls_context(settings),
         )
-        self.admin = AdminServer(self)
+        self.admin = AdminServer(
+            self, settings.admin_tokens, make_tls_context(settings)
+        )
         self.pruner = JournalPruner(self.gateway)
         self.callers_port = 0
 
--- a/pollencleat/daemon/settings.py
+++ b/pollencleat/daemon/settings.py
@@ -9,6 +9,7 @@
 
 import pydantic
 
+from pollencleat.administration.node import AdminToken
 from pollencleat.backend.pool import Credentials
 from pollencleat.core.errors import LocatedError, SettingsError
 from pollencleat.inventory.ini import (
@@ -100,15 +101,6 @@
     port: int
 
 
-@dataclass(frozen=True, slots=True)
-class AdminToken:
-    """A bearer token of the administration API and its roles."""
-
-    name: str
-    token: str
-    roles: frozenset[str]
-
-
 @dataclass(frozen=True, slots=True)
 class Settings:
     """Checked settings, with the contents of the secret files."""
