Stand-in: a former primary receives nothing before it steps down

Traced: the former primary was told to follow while it still led; the stand-in gave it the new term's log and number, and its copy of that moment then replaced the new primary's log. The real servers continue until STEPDOWN, as primaries. Ruled out: the product's order (RESUME, then STEPDOWN by its term) and the restores.

--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -27,8 +27,21 @@
     assert broken == [], f"logs in {tmp_path}"
 
 
-async def test_promises_hold_while_the_store_goes_back_to_older_copies(tmp_path):
-    broken = await run_seed(11, FAULT_S, tmp_path, restores=True)
+RESTORE_REGRESSION_SEEDS = {
+    6116: "the stand-in of a former primary that was told to follow kept leading",
+}
+"""Seeds that failed once with restores, with the cause."""
+
+
+@pytest.mark.parametrize(
+    ("seed", "fault_s"),
+    [
+        (11, FAULT_S),
+        *((seed, REGRESSION_FAULT_S) for seed in RESTORE_REGRESSION_SEEDS),
+    ],
+)
+async def test_promises_hold_while_the_store_goes_back(seed, fault_s, tmp_path):
+    broken = await run_seed(seed, fault_s, tmp_path, restores=True)
     assert broken == [], f"logs in {tmp_path}"
 
 
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -359,6 +359,7 @@
         elif verb == "STEPDOWN":
             if self.is_primary and self.term < int(words[1]):
                 self.is_primary = False
+                self.group.catch_up(self)
         else:
             return self._error_response(session, "MALFORMED")
         role = "primary" if self.is_primary else "replica"
@@ -452,7 +453,8 @@
             )
             if server is primary or server.paused_for_term or is_unreachable:
                 continue
-            if server.term > primary.term:
+            # A former primary receives nothing until it has stepped down.
+            if server.is_primary or server.term > primary.term:
                 continue
             server.log = list(primary.log)
             server.term = primary.term
