--- a/pollencleat/limits/queue.py
+++ b/pollencleat/limits/queue.py
@@ -66,8 +66,6 @@
         granted_at_s: Local time at which a connection was granted, or None.
         is_running: Whether a statement runs on the connection; False while a
             transaction pauses.
-        running_since_s: Local time of the last change of is_running.
-        busy_s: Seconds for which statements ran before that.
         granted_future: Future that the caller attaches to wait for the grant; not used
             by the queue.
     """
@@ -78,8 +76,6 @@
     rank: tuple[int, int] = (0, 0)
     granted_at_s: float | None = None
     is_running: bool = False
-    running_since_s: float = 0.0
-    busy_s: float = 0.0
     granted_future: object = None
 
 
@@ -262,12 +258,8 @@
             Waiting tickets that are granted in turn.
         """
         self.in_use -= 1
-        self._note_running(ticket, False, now_s)
-        duration_s = now_s - ticket.granted_at_s
-        if self.running_limit is not None:
-            # A transaction that pauses leaves its turn to others.
-            duration_s = ticket.busy_s
-        self.service_times.record(ticket.kind, duration_s)
+        self._note_running(ticket, False)
+        self.service_times.record(ticket.kind, now_s - ticket.granted_at_s)
         return self.grant_waiting(now_s)
 
     def set_running(
@@ -283,15 +275,12 @@
         Returns:
             Waiting tickets that are granted in turn.
         """
-        self._note_running(ticket, is_running, now_s)
+        self._note_running(ticket, is_running)
         return self.grant_waiting(now_s)
 
-    def _note_running(self, ticket: Ticket, is_running: bool, now_s: float) -> None:
-        if ticket.is_running:
-            ticket.busy_s += now_s - ticket.running_since_s
+    def _note_running(self, ticket: Ticket, is_running: bool) -> None:
         self.running += is_running - ticket.is_running
         ticket.is_running = is_running
-        ticket.running_since_s = now_s
 
     def _has_room(self) -> bool:
         if self.in_use >= self.capacity:
@@ -337,7 +326,7 @@
     def _grant(self, ticket: Ticket, now_s: float) -> None:
         ticket.granted_at_s = now_s
         self.in_use += 1
-        self._note_running(ticket, True, now_s)
+        self._note_running(ticket, True)
 
     def _pop_next(self) -> Ticket:
         """Remove the ticket of the lowest rank, or the next in turn now and then."""
