--- a/bench/restore_model.py
+++ b/bench/restore_model.py
@@ -277,7 +277,7 @@
             members=store.members - {process_of(number, node)},
             rights=store.rights - {process_of(number, node)},
         )
-        stopped = with_node(state, number, Node(starts=node.starts))
+        stopped = with_node(state, number, Node(starts=node.starts + 1))
         yield f"{number} resigns", replace(stopped, store=leaving)
     if node.pending is not None and node.pending[1] == store.revision:
         content = replace(node.pending[0], revision=store.revision + 1)
