--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -331,6 +331,45 @@
     assert (await reader.query("READ k")).rows == ("only-on-2",)
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 14")
+async def test_commit_that_only_a_leaving_replica_has_survives_the_primary(cluster):
+    """Guards against the promotion of a replica that lacks acknowledged commits."""
+    cluster.group.unreachable_replica_ids.add("books-1")
+    staying, leaving = cluster.group.by_id("books-1"), cluster.group.by_id("books-2")
+    leaving.draining = True
+    await wait_for(lambda: _knows_leaving(cluster, "books-2"))
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    await cluster.group.servers[0].stop()
+    await wait_for(lambda: _answers_read(cluster, "only-on-2"), 12.0)
+    # The staying replica receives nothing yet, so it must not take over.
+    await asyncio.sleep(2.0)
+    assert leaving.is_primary and not staying.is_primary
+    cluster.group.unreachable_replica_ids.clear()
+    await wait_for(lambda: _is_primary(staying), 12.0)
+    await leaving.stop()
+    await wait_for(lambda: _answers_read(cluster, "only-on-2"), 12.0)
+
+
+async def _knows_leaving(cluster, server_id):
+    return all(server_id in node.board.vms.leaving for node in cluster.nodes)
+
+
+async def _is_primary(server):
+    return server.is_primary
+
+
+async def _answers_read(cluster, expected):
+    """Return whether the item k can be read; an answer must have the expected value."""
+    reader = await cluster.connect("main-db", 1)
+    answer = await reader.query("READ k")
+    reader.close()
+    if answer.error:
+        return False
+    assert answer.rows == (expected,), answer
+    return True
+
+
 async def test_unreachable_replica_does_not_block_promotion_if_all_nodes_know_the_log(
     cluster,
 ):
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -29,14 +30,16 @@
     return DatabaseGroup("g", "g", (), servers, count)
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED 14")
 @given(
     st.integers(1, 2),
     st.lists(st.integers(0, 9), min_size=3, max_size=3),
     st.sets(st.sampled_from(("r1", "r2", "r3"))),
+    st.sets(st.sampled_from(("r1", "r2", "r3"))),
     st.booleans(),
 )
 def test_choice_holds_every_acknowledged_commit(
-    count, logs, unanswered, old_primary_answers
+    count, logs, unanswered, leaving, old_primary_answers
 ):
     """A commit is acknowledged once ``count`` replicas have received it."""
     logs_by_id = dict(zip(("r1", "r2", "r3"), logs, strict=True))
@@ -50,7 +53,7 @@
         {**statuses, "old": None},
         make_status(old_position) if old_primary_answers else None,
     )
-    chosen = choose_server(attempt, SERVERS, ())
+    chosen = choose_server(attempt, SERVERS, tuple(leaving))
     if chosen is None:
         return
     if has_every_acknowledged_commit(attempt, make_group(count), chosen):
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -504,6 +504,8 @@
         for other in self.servers:
             if other is server or other.is_primary or not other.is_running:
                 continue
+            if other.server_id in self.unreachable_replica_ids:
+                continue
             other.paused_for_term = 0
             other.log = list(server.log)
             other.applied_count = len(other.log)
