Promotion: log the positions that a choice compares, and the position of each answer

The logs could not tell whether a promoted server lacked an acknowledged commit: the choice left no line, and a statement's line had no position. No logic changes.

--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from pollencleat.core.data import Position
 from pollencleat.core.errors import (
     CallerError,
     MalformedStatementError,
@@ -91,11 +92,15 @@
             await self._transactions.fail(error)
             self._log(statement, started_s, error)
             raise
-        self._log(statement, started_s, None)
+        self._log(statement, started_s, None, answer.position)
         return answer
 
     def _log(
-        self, statement: Statement, started_s: float, error: CallerError | None
+        self,
+        statement: Statement,
+        started_s: float,
+        error: CallerError | None,
+        position: Position | None = None,
     ) -> None:
         duration_ms = (self.access.clock() - started_s) * 1000
         action = type(statement).__name__.lower()
@@ -113,6 +118,7 @@
             server=trace.server_id,
             gateway=trace.gateway_id,
             at_least=trace.at_least,
+            position=f"{position.term}.{position.position}" if position else "",
             term=trace.term,
             permit_age_ms=round(
                 (self.access.clock() - self.access.board.fleet_confirmed_at_s) * 1000
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -87,6 +87,7 @@
         is_old_primary_asked: A probe of the old primary is in progress.
         is_withdrawn: The old primary still leads and is kept.
         are_follow_orders_sent: The other servers were ordered to follow the chosen one.
+        logged_choice: Server and reason to wait in the latest log line of the choice.
     """
 
     group_id: str
@@ -113,6 +114,7 @@
     is_old_primary_asked: bool = False
     is_withdrawn: bool = False
     are_follow_orders_sent: bool = False
+    logged_choice: tuple[str, str] = ("", "")
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Switch to a phase and reset its query round.
@@ -423,3 +425,17 @@
         old_status.last_entry_term,
         old_status.position,
     )
+
+
+def format_log_end(status: ServerStatus | None) -> str:
+    """Return the last entry that a server received, for logs.
+
+    Args:
+        status: The server's status, or None.
+
+    Returns:
+        Term and position; empty without a status.
+    """
+    if status is None:
+        return ""
+    return f"{status.last_entry_term}.{status.received_position}"
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -5,6 +5,8 @@
 attempt, whose decisions are functions without I/O.
 """
 
+import structlog
+
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import (
     AuditEntry,
@@ -37,6 +39,8 @@
     begin_attempt,
     can_keep_old_primary,
     choose_server,
+    find_acknowledgement_bound,
+    format_log_end,
     has_every_acknowledged_commit,
     has_permit_expired,
     is_caught_up,
@@ -61,6 +65,8 @@
 the 20 s bound for a change of primary; a shorter one would lose writes that the replica
 has received."""
 
+log = structlog.get_logger()
+
 
 class AttemptSteering:
     """Advances this node's attempts through their phases.
@@ -286,19 +292,58 @@
             leaving = (*leaving, attempt.promotion.old_primary)
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
+            self._log_choice(attempt, "", "no server qualifies")
             return
         unregistered = self.board.vms.lapsed_by_group.get(attempt.group_id, ())
         if not has_every_acknowledged_commit(attempt, group, chosen, unregistered):
+            self._log_choice(attempt, chosen, "may lack acknowledged commits")
             return
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
+            self._log_choice(attempt, chosen, "applies its log")
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
             return
         attempt.chosen_server_id = chosen
+        self._log_choice(attempt, chosen, "")
         self._broadcast_writes_ended(attempt, chosen)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
+    def _log_choice(self, attempt: Attempt, chosen: str, waits_because: str) -> None:
+        """Log the logs that were compared, once for each outcome of the choice.
+
+        Args:
+            attempt: The attempt.
+            chosen: The most advanced server, or empty.
+            waits_because: Why the server is not promoted yet; empty if it is.
+        """
+        if attempt.logged_choice == (chosen, waits_because):
+            return
+        attempt.logged_choice = (chosen, waits_because)
+        vms = self.board.vms
+        seen = find_acknowledgement_bound(attempt)
+        log.info(
+            "promotion waits" if waits_because else "primary chosen",
+            group=attempt.group_id,
+            term=attempt.term,
+            server=chosen,
+            reason=waits_because,
+            positions_by_server={
+                server_id: format_log_end(status)
+                for server_id, status in attempt.statuses_by_server.items()
+            },
+            old_primary=attempt.promotion.old_primary,
+            fenced_at=format_log_end(attempt.old_primary_status),
+            members_saw=f"{seen.term}.{seen.position}" if seen else "",
+            unconfirmed=len(attempt.unconfirmed_incarnations),
+            leaving=[
+                server_id
+                for server_id in attempt.statuses_by_server
+                if server_id in vms.leaving
+            ],
+            unregistered=list(vms.lapsed_by_group.get(attempt.group_id, ())),
+        )
+
     def _broadcast_writes_ended(self, attempt: Attempt, chosen: str) -> None:
         """Announce the end of the old term's writes to all members.
 
