Placement: a primary that does not finish leaving gets no more statements

What callers saw: nothing yet. A server that shuts down must receive nothing a stated time after it announced that; only a change of primary ended the statements to a leaving primary, so a change that took longer than that time let them go on.

A server that was leaving already when this process first saw it may have announced that any time ago and counts as having left. The limit comes from the settings file, less the time that a chosen statement may wait for a connection.

--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -231,6 +231,9 @@
             shares one.
         writes_ended_by_group: For each group, the latest notice that all writes had
             stopped for a change of primary.
+        leaving_since_by_server: When this node learned that a registered server is
+            about to shut down; long ago if it did when it first saw the server.
+        leaving_limit_s: Seconds after which a leaving server gets no new statements.
         primary_learned_at_s: When this node learned of the current primary, by group.
         removal_learned_at_s: When this node learned of a member's removal, by
             incarnation.
@@ -270,6 +273,8 @@
     effects: list[Effect] = field(default_factory=list)
     public_key: str = ""
     writes_ended_by_group: dict[str, WritesEnded] = field(default_factory=dict)
+    leaving_since_by_server: dict[str, float] = field(default_factory=dict)
+    leaving_limit_s: float = float("inf")
     primary_learned_at_s: dict[str, float] = field(default_factory=dict)
     removal_learned_at_s: dict[str, float] = field(default_factory=dict)
     member_learned_at_s: dict[str, float] = field(default_factory=dict)
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -101,6 +101,7 @@
         super().__init__(settings.node_id, settings.failure_domain, {})
         self.settings = settings
         self.board.tracks_all_requests = True
+        self.board.leaving_limit_s = settings.leaving_limit_s
         self._output = output
         self.client = ObjectClient(settings.store)
         self.orders = PlatformOrders(
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -27,7 +27,7 @@
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.freshness import is_primary_confirmed
-from pollencleat.routing.placement import Target
+from pollencleat.routing.placement import Target, has_left
 
 RETRY_AFTER_MS = 200
 """Delay after which a caller may retry while a primary is being replaced; a failover
@@ -199,8 +199,13 @@
             WritesUnavailableError: The node holds no write permit, the group has no
                 primary, or the primary has no pool on this node.
         """
-        term = writable_term(self.board, group_id, self.clock())
-        if term is not None and term.primary in self.pools.pools_by_server:
+        now_s = self.clock()
+        term = writable_term(self.board, group_id, now_s)
+        if (
+            term is not None
+            and term.primary in self.pools.pools_by_server
+            and not has_left(self.board, term.primary, now_s)
+        ):
             return term
         raise WritesUnavailableError(self.why_not_writable(group_id), RETRY_AFTER_MS)
 
@@ -220,6 +225,8 @@
             return f"group {group_id}: a primary is being promoted"
         if not holds_write_permit(self.board, self.clock()):
             return f"group {group_id}: this node holds no write permit"
+        if has_left(self.board, term.primary, self.clock()):
+            return f"group {group_id}: primary {term.primary} is shutting down"
         return f"group {group_id}: primary {term.primary} is not registered"
 
     def is_still_writable(self, term: GroupTerm) -> bool:
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -20,6 +20,9 @@
 """Time after a store outage within which live servers register again, as documented by
 the platform."""
 
+LONG_AGO_S = -1e9
+"""Local time before every event."""
+
 MAX_OLDER_LAPSED = 8
 """Lapsed servers kept per group in addition to the newest."""
 
@@ -98,9 +101,7 @@
         if known is not None and known.born_ms != server.born_ms:
             self._board.servers_by_id.pop(server_id, None)
         self._servers_by_id[server_id] = server
-        self._leaving.discard(server_id)
-        if leaving:
-            self._leaving.add(server_id)
+        self._set_leaving(server_id, leaving, known is None)
         self._changed_revision = max(self._changed_revision, revision)
         log.info(
             "server registered",
@@ -112,6 +113,18 @@
             revision=revision,
         )
 
+    def _set_leaving(self, server_id: str, leaving: bool, is_new: bool) -> None:
+        """Note whether a server is leaving, and since when this node knows it."""
+        since_by_server = self._board.leaving_since_by_server
+        if not leaving:
+            self._leaving.discard(server_id)
+            since_by_server.pop(server_id, None)
+            return
+        self._leaving.add(server_id)
+        # It may have announced this long before its entry was read first.
+        since_s = LONG_AGO_S if is_new else self._clock()
+        since_by_server.setdefault(server_id, since_s)
+
     def _discard_lapsed(self, server: BackendServer) -> None:
         """Discard lapsed servers with the id or the address of a registered server.
 
@@ -148,7 +161,7 @@
         server = self._servers_by_id.pop(server_id)
         self._missing_since_s.pop(server_id, None)
         if server_id in self._leaving:
-            self._leaving.discard(server_id)
+            self._set_leaving(server_id, False, False)
         else:
             lapsed = self._lapsed_by_group.get(server.group_id, ())
             self._lapsed_by_group[server.group_id] = (
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -11,6 +11,10 @@
 """Environment variable with the path of the settings file."""
 
 
+STATEMENT_DELAY_S = 1.0
+"""Longest time from the choice of a server until a statement reaches it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """An address to listen on or to connect to."""
@@ -29,6 +33,7 @@
 
     Attributes:
         grace_s: Seconds between the stop request and the kill.
+        leaving_limit_s: Seconds after which a leaving server gets no new statements.
     """
 
     node_id: str
@@ -41,10 +46,13 @@
     store: Endpoint
     promotion: Endpoint
     grace_s: float
+    leaving_limit_s: float = 6.0
 
 
 class _Bounds(msgspec.Struct):
     grace_period_s: float
+    drain_ms: float = 7000.0
+    """Time after which a leaving server must receive no more statements."""
 
 
 class _Listen(msgspec.Struct):
@@ -108,6 +116,7 @@
         store=parse_endpoint(boot.platform.address),
         promotion=parse_endpoint(boot.cloud_api.address),
         grace_s=boot.bounds.grace_period_s,
+        leaving_limit_s=boot.bounds.drain_ms / 1000 - STATEMENT_DELAY_S,
     )
 
 
@@ -119,6 +128,8 @@
         return [_make_problem(path, section, "", "expected a JSON object")]
     problems = []
     for field in msgspec.structs.fields(kind):
+        if field.name not in content and not field.required:
+            continue
         if field.name not in content:
             problem = _make_problem(path, section, field.name, "the field is missing")
             problems.append(problem)
--- a/pollencleat/routing/placement.py
+++ b/pollencleat/routing/placement.py
@@ -88,16 +88,33 @@
 
     Returns:
         The target, or None if there is no valid permit, the group has no primary, or
-        the primary was already tried or is not in the inventory.
+        the primary was already tried, is not in the inventory or has left.
     """
     term = writable_term(board, group_id, now_s)
     if term is None or term.primary in excluded:
         return None
     if term.primary not in board.inventory.servers_by_id:
         return None
+    if has_left(board, term.primary, now_s):
+        return None
     return Target(term.primary, None, term)
 
 
+def has_left(board: Blackboard, server_id: str, now_s: float) -> bool:
+    """Return whether a server that is leaving gets no new statements any more.
+
+    Args:
+        board: The node's state.
+        server_id: The server.
+        now_s: Local time.
+
+    Returns:
+        True from leaving_limit_s after the node learned that the server is leaving.
+    """
+    since_s = board.leaving_since_by_server.get(server_id)
+    return since_s is not None and now_s - since_s >= board.leaving_limit_s
+
+
 def _choose_by_position(
     board: Blackboard,
     route: Route,
