Promotion: a leaving server's log counts in the choice of a primary

Cause: choose_server looked at leaving servers only if no other had answered, while a leaving server goes on receiving and acknowledging commits until it ends. Every replica had answered, so has_every_acknowledged_commit saw nothing missing, and a staying server that lacked acknowledged commits was promoted. A second hole of the same class: it counted replicas of the replaced primary only, yet what that primary began its term with may be in its log alone.

Why it works: the most advanced log leads, whoever leaves; staying only breaks ties. The successor must reach the start of the term that is replaced, compared by the history of terms, since a log of an older term may be longer and lack entries. A leaving primary keeps the lead until a living server that stays has that start, so nothing is given up for a planned change.

KNOWN-RED 14 goes; the marks of its tests go.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -331,7 +331,6 @@
     assert (await reader.query("READ k")).rows == ("only-on-2",)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 14")
 async def test_commit_that_only_a_leaving_replica_has_survives_the_primary(cluster):
     """Guards against the promotion of a replica that lacks acknowledged commits."""
     cluster.group.unreachable_replica_ids.add("books-1")
--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -70,12 +70,21 @@
     def tick(self) -> None:
         """Probe the servers that are due."""
         now_s = self._clock()
+        self._request_wanted_statuses()
         for group_id, group in self._board.inventory.groups_by_id.items():
             for server_id in group.server_ids:
                 if self._is_due(group_id, server_id, now_s):
                     self._probe(server_id, now_s)
         self._servers_to_probe.clear()
 
+    def _request_wanted_statuses(self) -> None:
+        """Have the servers probed whose statuses the controllers want."""
+        wanted, self._board.statuses_wanted = self._board.statuses_wanted, set()
+        for server_id in wanted:
+            is_registered = server_id in self._board.inventory.servers_by_id
+            if is_registered and self._may_connect(server_id):
+                self._servers_to_probe.add(server_id)
+
     def _is_due(self, group_id: str, server_id: str, now_s: float) -> bool:
         if server_id in self._servers_to_probe:
             return True
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -234,6 +234,7 @@
         leaving_since_by_server: When this node learned that a registered server is
             about to shut down; long ago if it did when it first saw the server.
         leaving_limit_s: Seconds after which a leaving server gets no new statements.
+        statuses_wanted: Servers whose status a controller wants to know soon.
         primary_learned_at_s: When this node learned of the current primary, by group.
         removal_learned_at_s: When this node learned of a member's removal, by
             incarnation.
@@ -275,6 +276,7 @@
     writes_ended_by_group: dict[str, WritesEnded] = field(default_factory=dict)
     leaving_since_by_server: dict[str, float] = field(default_factory=dict)
     leaving_limit_s: float = float("inf")
+    statuses_wanted: set[str] = field(default_factory=set)
     primary_learned_at_s: dict[str, float] = field(default_factory=dict)
     removal_learned_at_s: dict[str, float] = field(default_factory=dict)
     member_learned_at_s: dict[str, float] = field(default_factory=dict)
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -87,6 +87,7 @@
         is_old_primary_asked: A probe of the old primary is in progress.
         is_withdrawn: The old primary still leads and is kept.
         are_follow_orders_sent: The other servers were ordered to follow the chosen one.
+        history: Starts of the group's latest terms, the replaced one last.
         logged_choice: Server and reason to wait in the latest log line of the choice.
     """
 
@@ -114,6 +115,7 @@
     is_old_primary_asked: bool = False
     is_withdrawn: bool = False
     are_follow_orders_sent: bool = False
+    history: tuple[TermStart, ...] = ()
     logged_choice: tuple[str, str] = ("", "")
 
     def enter(self, phase: Phase, now_s: float) -> None:
@@ -164,6 +166,7 @@
             for server_id, view in board.servers_by_id.items()
             if view.status is not None
         },
+        history=term.history,
     )
 
 
@@ -256,12 +259,14 @@
     """Return the most advanced server that answered.
 
     Servers are compared by the term of their last log entry, then by log position.  A
-    server that has lost its log is not chosen while another server does not answer.
+    leaving server acknowledges commits until it ends, so it is passed over only for a
+    server with the same log.  A server that has lost its log is not chosen while
+    another server does not answer.
 
     Args:
         attempt: The attempt, with the answers of the current round.
         server_ids: The group's servers in declared order.
-        leaving: Servers that are chosen only if no other server qualifies.
+        leaving: Servers that are about to shut down.
 
     Returns:
         A server id, or None if no server qualifies.
@@ -276,20 +281,81 @@
         answered = [
             candidate for candidate in answered if not has_lost_log(attempt, candidate)
         ]
-    staying = [server_id for server_id in answered if server_id not in leaving]
     best = None
-    best_key = (-1, -1, False)
-    for server_id in staying or answered:
+    best_key = (-1, -1, False, False)
+    for server_id in find_successors(attempt, answered) or answered:
         status = attempt.statuses_by_server[server_id]
+        is_staying = server_id not in leaving
         # A server that is already writable is preferred as a group's first primary.
         is_primary = not attempt.promotion.old_primary and not status.read_only
-        key = (status.last_entry_term, status.received_position, is_primary)
+        key = (status.last_entry_term, status.received_position, is_staying, is_primary)
         if key > best_key:
             best = server_id
             best_key = key
     return best
 
 
+def find_successors(attempt: Attempt, answered: list[str]) -> list[str]:
+    """Return the servers that can succeed the old primary.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+        answered: Servers that answered.
+
+    Returns:
+        In a planned change, the other servers that have everything with which the old
+        primary began its term; otherwise all.
+    """
+    if not attempt.promotion.planned:
+        return answered
+    return [
+        server_id
+        for server_id in answered
+        if server_id != attempt.promotion.old_primary
+        and has_start_of_replaced_term(attempt, server_id)
+    ]
+
+
+def has_start_of_replaced_term(attempt: Attempt, server_id: str) -> bool:
+    """Return whether a server has everything with which the old primary began its term.
+
+    Commits of older terms may be in the old primary's log alone until other servers
+    have received its log up to there.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+        server_id: A server that answered.
+
+    Returns:
+        True if the server's log reaches the start of the term that is replaced.
+    """
+    status = attempt.statuses_by_server[server_id]
+    log_end = Position(status.last_entry_term, status.received_position)
+    return reaches_latest_term(attempt.history, log_end)
+
+
+def reaches_latest_term(history: tuple[TermStart, ...], log_end: Position) -> bool:
+    """Return whether a log has every entry with which the latest term began.
+
+    A log that ends in an older term can be longer and still lack entries, because a
+    promotion rolls back what the new primary did not have.
+
+    Args:
+        history: Starts of a group's latest terms, oldest first.
+        log_end: Term and position of the log's last entry.
+
+    Returns:
+        True if the log reaches the start of the last term, or if there was no term.
+    """
+    if not history:
+        return True
+    common_position = log_end.position
+    for start in history:
+        if start.term > log_end.term:
+            common_position = min(common_position, start.start_position)
+    return common_position >= history[-1].start_position
+
+
 def has_lost_log(attempt: Attempt, server_id: str) -> bool:
     """Return whether a server restarted without its former log.
 
@@ -316,9 +382,11 @@
 ) -> bool:
     """Return whether a chosen server certainly has every acknowledged commit.
 
-    A commit that k replicas must acknowledge is on at least one held replica unless k
-    or more replicas did not answer; the chosen server is the most advanced of those
-    that answered.  If too many did not answer, the chosen server's log must reach the
+    What the old primary began its term with was acknowledged under older terms, and
+    may be in its log alone, so the chosen server must have received that.  A later
+    commit that k replicas must acknowledge is on at least one held replica unless k or
+    more replicas did not answer; the chosen server is the most advanced of those that
+    answered.  If too many did not answer, the chosen server's log must reach the
     final position of the old primary, or the highest position that any node has
     received from it: every acknowledgement passed through one of the nodes.
 
@@ -333,19 +401,22 @@
         True if no acknowledged commit can be lost, or if the group does not require
         replicas to acknowledge commits.
     """
-    if not group.acknowledging_replicas or not attempt.promotion.old_primary:
+    old_primary = attempt.promotion.old_primary
+    if not group.acknowledging_replicas or not old_primary:
         return True
-    unanswered = [
+    unanswered = {
         replica_id
         for replica_id in (*group.server_ids, *unregistered)
-        if replica_id != attempt.promotion.old_primary
-        and attempt.statuses_by_server.get(replica_id) is None
-    ]
+        if attempt.statuses_by_server.get(replica_id) is None
+    }
+    if unanswered and not has_start_of_replaced_term(attempt, server_id):
+        return False
+    unanswered.discard(old_primary)
     if len(unanswered) < group.acknowledging_replicas:
         return True
     old_status = attempt.old_primary_status
     if old_status is None:
-        old_status = attempt.statuses_by_server.get(attempt.promotion.old_primary)
+        old_status = attempt.statuses_by_server.get(old_primary)
     status = attempt.statuses_by_server[server_id]
     log_end = (status.last_entry_term, status.received_position)
     if (
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -1,13 +1,19 @@
-import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollencleat.core.data import DatabaseGroup, Position, Promotion, ServerStatus
+from pollencleat.core.data import (
+    DatabaseGroup,
+    Position,
+    Promotion,
+    ServerStatus,
+    TermStart,
+)
 from pollencleat.core.messages import SeenPosition
 from pollencleat.promotion.attempt import (
     Attempt,
     choose_server,
     has_every_acknowledged_commit,
+    reaches_latest_term,
 )
 from pollencleat.promotion.suspicion import Suspicion
 
@@ -30,7 +36,6 @@
     return DatabaseGroup("g", "g", (), servers, count)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED 14")
 @given(
     st.integers(1, 2),
     st.lists(st.integers(0, 9), min_size=3, max_size=3),
@@ -146,3 +151,60 @@
     attempt.seen_by_incarnation = {"n-1": SeenPosition(Position(3, 90), 0.1)}
     assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r1"
     assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
+def make_planned_attempt(statuses, history):
+    attempt = make_attempt(statuses, statuses["old"])
+    attempt.promotion = Promotion("a/1", "n", "n-1", "old", True, "leaving")
+    attempt.history = history
+    return attempt
+
+
+def test_planned_change_gives_no_lead_to_a_server_without_the_start_of_the_term():
+    """The old primary leads again if no other server has what only it had at first."""
+    statuses = {"old": make_status(9), "r1": make_status(5), "r2": None}
+    history = (TermStart(2, 0), TermStart(3, 7))
+    servers = ("old", "r1", "r2")
+    attempt = make_planned_attempt({**statuses, "r1": make_status(5, term=2)}, history)
+    assert choose_server(attempt, servers, ("old",)) == "old"
+    attempt.statuses_by_server["r2"] = make_status(7, term=2)
+    assert choose_server(attempt, servers, ("old",)) == "r2"
+
+
+def test_server_without_the_start_of_the_term_waits_for_those_that_do_not_answer():
+    """Guards against the loss of commits that only the last primary had at first."""
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt(
+        {"old": None, "r1": make_status(5, term=2), "r2": make_status(5, term=2)}
+    )
+    attempt.history = (TermStart(2, 0), TermStart(3, 7))
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
+    attempt.statuses_by_server["r1"] = make_status(7, term=2)
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
+@st.composite
+def draw_terms(draw):
+    """Draw a group's terms: start of each, and the entries of its primary's log."""
+    log = []
+    history = []
+    logs = []
+    term = 0
+    for _ in range(draw(st.integers(1, 5))):
+        term += draw(st.integers(1, 2))
+        log = log[: draw(st.integers(0, len(log)))]
+        history.append(TermStart(term, len(log)))
+        log = log + [term] * draw(st.integers(0, 4))
+        logs.append(log)
+    return tuple(history), logs
+
+
+@given(draw_terms(), st.data())
+def test_log_reaches_a_term_exactly_if_it_has_all_entries_of_its_start(terms, data):
+    """A server may have stopped receiving at any entry of any primary's log."""
+    history, logs = terms
+    start = logs[-1][: history[-1].start_position]
+    log = data.draw(st.sampled_from(logs))
+    log = log[: data.draw(st.integers(0, len(log)))]
+    log_end = Position(log[-1] if log else 0, len(log))
+    assert reaches_latest_term(history, log_end) == (log[: len(start)] == start)
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -12,6 +12,7 @@
     GroupTerm,
     Inventory,
     Member,
+    Position,
     Promotion,
     RemovedMember,
     ServerStatus,
@@ -441,3 +442,51 @@
     board.effects.clear()
     controller.on_updated(FleetUpdated(update, 3), 10.2)
     assert not run(controller, board, steps(10.2, 14.0), True)
+
+
+def make_board_with_leaving_primary():
+    """Return a board whose primary leaves and began its term at position 7."""
+    board = make_board()
+    history = (TermStart(1, 0), TermStart(2, 7))
+    term = GroupTerm("g", 2, "p", history=history)
+    board.fleet = replace(board.fleet, terms_by_group={"g": term})
+    board.vms = replace(board.vms, leaving=("p",))
+    return board
+
+
+def test_leaving_primary_leads_until_another_server_has_the_start_of_its_term():
+    """Guards against the loss of commits that only a leaving primary has."""
+    board = make_board_with_leaving_primary()
+    controller = PromotionController(board, 0.0)
+    view = board.server_view("r")
+    view.applied = Position(1, 6)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+    assert board.statuses_wanted == {"r"}
+    view.applied = Position(2, 8)
+    assert run(controller, board, steps(7.0, 7.2), True)
+
+
+def test_leaving_primary_is_not_replaced_by_a_server_that_does_not_answer():
+    """Regression: a crashed primary's last known position began planned changes."""
+    board = make_board_with_leaving_primary()
+    view = board.server_view("r")
+    view.applied = Position(2, 8)
+    view.record_request(1.0)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+
+
+def test_leaving_primary_is_not_replaced_by_a_server_that_leaves_too():
+    board = make_board_with_leaving_primary()
+    board.vms = replace(board.vms, leaving=("p", "r"))
+    board.server_view("r").applied = Position(2, 8)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+
+
+def test_leaving_primary_that_is_gone_is_replaced():
+    board = make_board_with_leaving_primary()
+    servers = {"r": board.inventory.servers_by_id["r"]}
+    board.inventory = replace(board.inventory, servers_by_id=servers)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True)
--- a/pollencleat/promotion/detection.py
+++ b/pollencleat/promotion/detection.py
@@ -13,14 +13,17 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import PRIMARY_TIMEOUT_S
-from pollencleat.core.data import GroupTerm, Promotion
+from pollencleat.core.data import GroupTerm, Position, Promotion
 from pollencleat.core.index import rank_members
 from pollencleat.core.messages import Sighting, SightingRequest
+from pollencleat.promotion.attempt import reaches_latest_term
 from pollencleat.promotion.suspicion import (
     PeerSighting,
     Suspicion,
     assess_primary,
     hears_other_domain,
+    is_unresponsive,
+    known_log_end,
     shows_server_alive,
 )
 
@@ -57,6 +60,11 @@
 ASK_PROMOTER_INTERVAL_S = 0.4
 """Seconds between two liveness requests to the promoter of a promotion."""
 
+SUCCESSOR_STATUS_INTERVAL_S = 0.3
+"""Seconds between two status reads of a server that may succeed a leaving primary."""
+
+EMPTY_LOG_END = Position(0, 0)
+
 WARM_UP_S = 1.0
 """Seconds of uninterrupted platform reads before a node may start a promotion."""
 
@@ -181,11 +189,45 @@
                 if shows_server_alive(sighting, now_s):
                     return False
         else:
+            if suspect.suspicion is Suspicion.LEAVING and not self._has_successor(
+                term, now_s
+            ):
+                return False
             wait_s = self._rank(group_id) * START_RANK_DELAY_S
         if not self._has_candidate(group_id, term, now_s):
             return False
         return now_s - suspect.suspected_at_s >= wait_s
 
+    def _has_successor(self, term: GroupTerm, now_s: float) -> bool:
+        """Return whether a leaving primary can be replaced without losing commits.
+
+        It keeps the lead until a server that stays has received everything with which
+        its term began.  Until that is known, the statuses of these servers are read.
+        """
+        board = self.board
+        if term.primary not in board.inventory.servers_by_id:
+            return True
+        if reaches_latest_term(term.history, EMPTY_LOG_END):
+            return True
+        group = board.inventory.groups_by_id[term.group_id]
+        staying = [
+            server_id
+            for server_id in group.server_ids
+            if server_id != term.primary and server_id not in board.vms.leaving
+        ]
+        for server_id in staying:
+            view = board.server_view(server_id)
+            if view.refused_at_s is not None or is_unresponsive(view, now_s):
+                continue
+            log_end = known_log_end(view)
+            if log_end is not None and reaches_latest_term(term.history, log_end):
+                return True
+        for server_id in staying:
+            view = board.server_view(server_id)
+            if now_s - view.status_sent_at_s >= SUCCESSOR_STATUS_INTERVAL_S:
+                board.statuses_wanted.add(server_id)
+        return False
+
     def _have_all_peers_answered(self, suspect: SuspectedPrimary) -> bool:
         others = set(self.board.fleet.members_by_id) - {self.board.node_id}
         return others <= set(suspect.sightings_by_node)
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -217,6 +217,10 @@
             attempt.statuses_by_server = {}
             for server_id in server_ids:
                 self.board.effects.append(self._make_status_request(attempt, server_id))
+            return
+        group = self.board.inventory.groups_by_id[attempt.group_id]
+        if attempt.statuses_by_server:
+            self._choose(attempt, group, now_s)
 
     def _make_status_request(
         self, attempt: Attempt, server_id: str
@@ -287,6 +291,10 @@
         waited_s = now_s - attempt.phase_started_at_s
         if missing and waited_s < STATUS_TIMEOUT_S:
             return
+        round_s = now_s - attempt.servers_asked_at_s
+        if missing and attempt.promotion.planned and round_s < RETRY_INTERVAL_S:
+            # The old primary often answers first, and is the last choice.
+            return
         leaving = self.board.vms.leaving
         if attempt.promotion.planned:
             leaving = (*leaving, attempt.promotion.old_primary)
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.bounds import is_before
 from pollencleat.core.constants import PRIMARY_TIMEOUT_S
-from pollencleat.core.data import GroupTerm
+from pollencleat.core.data import GroupTerm, Position
 from pollencleat.core.messages import Sighting
 from pollencleat.membership.beats import has_recent_heartbeat
 from pollencleat.membership.permits import BEFORE_START_S
@@ -112,6 +113,23 @@
     return Sighting(board.node_id, server_id, age_s, view.refused_at_s is not None)
 
 
+def known_log_end(view: ServerView) -> Position | None:
+    """Return the latest log entry that a server is known to have received.
+
+    Args:
+        view: This node's observations of the server.
+
+    Returns:
+        Term and position of the entry, or None if none is known.
+    """
+    if view.status is None:
+        return view.applied
+    received = Position(view.status.last_entry_term, view.status.received_position)
+    if view.applied is not None and is_before(received, view.applied):
+        return view.applied
+    return received
+
+
 def hears_other_domain(board: Blackboard, now_s: float) -> bool:
     """Return whether a member of another failure domain has sent a recent heartbeat.
 
