Promotion: a server that lost its log after it was chosen is not promoted

What callers saw: nothing yet; found while looking for the same cause elsewhere. A server is chosen by the log that it reports and promoted up to some tenths of a second later. If it restarts empty in between, it was promoted all the same, and the replicas that had the acknowledged commits were rolled back to its empty log.

Evidence: without the check the test fails: the order goes on to the call ("promotion attempt 2 may have been superseded" instead of "the log ends at ...").

Why it works: the order carries the last entry that was compared; the status that is read right before the call must still reach it. A restart between that read and the call, some milliseconds, is not covered: the call has no condition.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -7,6 +7,8 @@
 from click.testing import CliRunner
 
 from bench.platform_cluster import LineClient, PlatformCluster
+from pollencleat.core.data import Position
+from pollencleat.core.errors import BackendError
 from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
 from pollencleat.tools.main import main
@@ -314,6 +316,18 @@
     await wait_for(no_server_is_paused, 4.0)
 
 
+async def test_server_that_restarted_after_it_was_chosen_is_not_promoted(cluster):
+    """Guards against a promotion that rolls the group back to an empty log."""
+    await cluster.try_write()
+    await wait_for(lambda: _has_all(cluster.group.servers))
+    chosen = cluster.group.by_id("books-1")
+    log_end = Position(chosen.log[-1].term, chosen.log[-1].number)
+    await chosen.restart_empty()
+    with pytest.raises(BackendError, match="the log ends"):
+        await cluster.nodes[0].orders.promote("books-1", 4, 2, log_end)
+    assert not chosen.is_primary
+
+
 async def test_replica_that_missed_commits_is_not_promoted(cluster):
     cluster.group.unreachable_replica_ids.add("books-1")
     client = await cluster.connect("main-db")
--- a/pollencleat/backend/orders.py
+++ b/pollencleat/backend/orders.py
@@ -2,7 +2,8 @@
 
 from pollencleat.backend.monitor import ServerMonitor
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import ServerStatus, TermStart
+from pollencleat.core.bounds import require_log_end
+from pollencleat.core.data import Position, ServerStatus, TermStart
 from pollencleat.core.errors import BackendError
 
 
@@ -34,8 +35,12 @@
         """Read the status only; these servers have no command to stop replication."""
         return await self._monitor(server_id).read_status()
 
-    async def promote(self, server_id: str, term: int, fence: int) -> TermStart:
+    async def promote(
+        self, server_id: str, term: int, fence: int, log_end: Position
+    ) -> TermStart:
         """Make a server the primary and return the start of its term."""
+        status = await self._monitor(server_id).read_status()
+        require_log_end(server_id, status, log_end)
         return TermStart(term, await self._monitor(server_id).promote(term))
 
     async def follow(self, server_id: str, primary_id: str, term: int) -> None:
--- a/pollencleat/core/bounds.py
+++ b/pollencleat/core/bounds.py
@@ -9,7 +9,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from pollencleat.core.data import Position
+from pollencleat.core.data import Position, ServerStatus
+from pollencleat.core.errors import BackendError
 
 MIN_ENTRY_INTERVAL_S = 0.01
 """Least time in seconds between two entries; a finer resolution has no use."""
@@ -97,3 +98,32 @@
 def is_before(first: Position, second: Position) -> bool:
     """Return whether the first position precedes the second in the group's history."""
     return (first.term, first.position) < (second.term, second.position)
+
+
+def log_end_of(status: ServerStatus) -> Position:
+    """Return term and position of the last log entry that a server received.
+
+    Args:
+        status: The server's status.
+
+    Returns:
+        The position; position 0 for an empty log.
+    """
+    return Position(status.last_entry_term, status.received_position)
+
+
+def require_log_end(server_id: str, status: ServerStatus, log_end: Position) -> None:
+    """Check that a server has lost no log entries since an earlier status.
+
+    Args:
+        server_id: The server.
+        status: Its present status.
+        log_end: The last entry that it had received before.
+
+    Raises:
+        BackendError: Its log ends earlier now; it has restarted.
+    """
+    if is_before(log_end_of(status), log_end):
+        raise BackendError(
+            f"{server_id}: the log ends at {log_end_of(status)}, before {log_end}"
+        )
--- a/pollencleat/core/effects.py
+++ b/pollencleat/core/effects.py
@@ -6,7 +6,14 @@
 
 from dataclasses import dataclass
 
-from pollencleat.core.data import Fleet, Inventory, ServerStatus, TermStart, VmList
+from pollencleat.core.data import (
+    Fleet,
+    Inventory,
+    Position,
+    ServerStatus,
+    TermStart,
+    VmList,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,12 +74,14 @@
     Attributes:
         fence: Fencing token, which increases with every attempt in the group; whoever
             executes the command can reject that of an older attempt.
+        log_end: Last log entry that the server had when it was chosen.
     """
 
     attempt_id: str
     server_id: str
     term: int
     fence: int
+    log_end: Position
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/ports.py
+++ b/pollencleat/core/ports.py
@@ -8,7 +8,14 @@
 from typing import Protocol
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import Fleet, Inventory, ServerStatus, TermStart, VmList
+from pollencleat.core.data import (
+    Fleet,
+    Inventory,
+    Position,
+    ServerStatus,
+    TermStart,
+    VmList,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +81,13 @@
     async def pause_replication(self, server_id: str, term: int) -> ServerStatus:
         """Pause a server's replication and return its status."""
 
-    async def promote(self, server_id: str, term: int, fence: int) -> TermStart:
-        """Make a server the primary and return the start of its log term."""
+    async def promote(
+        self, server_id: str, term: int, fence: int, log_end: Position
+    ) -> TermStart:
+        """Make a server the primary and return the start of its log term.
+
+        A server whose log no longer reaches the given entry is not promoted.
+        """
 
     async def follow(self, server_id: str, primary_id: str, term: int) -> None:
         """Make a server a read-only replica of a primary."""
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -228,7 +228,10 @@
     @runs_effect(PromoteServer)
     async def _promote(self, effect: PromoteServer) -> None:
         start = await self._run_order(
-            self._orders.promote(effect.server_id, effect.term, effect.fence), effect
+            self._orders.promote(
+                effect.server_id, effect.term, effect.fence, effect.log_end
+            ),
+            effect,
         )
         self._deliver(ServerPromoted(effect.attempt_id, effect.server_id, start))
 
--- a/pollencleat/daemon/adapters_test.py
+++ b/pollencleat/daemon/adapters_test.py
@@ -2,7 +2,7 @@
 import random
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import Fleet, Inventory, VmList
+from pollencleat.core.data import Fleet, Inventory, Position, VmList
 from pollencleat.core.effects import (
     PlatformRead,
     PromoteServer,
@@ -73,7 +73,7 @@
 class BrokenOrders:
     """Raises an error that is no PollencleatError."""
 
-    async def promote(self, server_id, term, fence):
+    async def promote(self, server_id, term, fence, log_end):
         raise KeyError("unknown group")
 
 
@@ -84,6 +84,6 @@
     runner = EffectRunner(
         board, delivered.append, None, BrokenOrders(), Metrics("n"), lambda: 100.0
     )
-    runner.run(PromoteServer("n-1/1", "p", 1, 1))
+    runner.run(PromoteServer("n-1/1", "p", 1, 1, Position(0, 0)))
     await asyncio.sleep(0.01)
     assert delivered == [ServerPromoted("n-1/1", "p", None)]
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import BackendServer, ServerStatus, TermStart
+from pollencleat.core.bounds import require_log_end
+from pollencleat.core.data import BackendServer, Position, ServerStatus, TermStart
 from pollencleat.core.errors import BackendError
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.platform.servers import ServerConnection, open_server_connection
@@ -81,22 +82,26 @@
             return await self._run_command(server_id, f"STEPDOWN {term}")
         return status
 
-    async def promote(self, server_id: str, term: int, fence: int) -> TermStart:
+    async def promote(
+        self, server_id: str, term: int, fence: int, log_end: Position
+    ) -> TermStart:
         """Promote a server and wait until it is primary.
 
         Args:
             server_id: The server.
             term: Lowest term to wait for; the server assigns its term itself.
             fence: Fencing token; grows with every promotion attempt of the group.
+            log_end: Last log entry that the server had when it was chosen.
 
         Returns:
             Term of the new primary and the log position at which the term starts.
 
         Raises:
-            BackendError: The server did not become primary in time; the promotion may
-                still take effect.
+            BackendError: The server has lost log entries, or did not become primary in
+                time; the promotion may still take effect.
         """
         status = await self.read_status(server_id)
+        require_log_end(server_id, status, log_end)
         if status.read_only or status.term < term - 1:
             await self._request_promotion(server_id, fence)
             status = await self._wait_until_primary(server_id, term)
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.bounds import is_before
+from pollencleat.core.bounds import is_before, log_end_of
 from pollencleat.core.constants import (
     MAX_CLOCK_DRIFT,
     PLATFORM_PERMIT_S,
@@ -73,6 +73,7 @@
         stop_resend_interval_s: Time until StopWrites is sent again.
         old_primary_status: Status of the old primary after it was fenced, or None.
         chosen_server_id: Server that becomes primary; empty before the choice.
+        chosen_log_end: Last log entry that it had received when it was chosen, or None.
         start: Log position at which the chosen server started the term, or None.
         age_reference_s: Time from which the answer ages that members report are
             subtracted.  It is not later than any confirmation, so that answers appear
@@ -105,6 +106,7 @@
     stop_resend_interval_s: float = 0.0
     old_primary_status: ServerStatus | None = None
     chosen_server_id: str = ""
+    chosen_log_end: Position | None = None
     start: TermStart | None = None
     age_reference_s: float = 0.0
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
@@ -329,8 +331,7 @@
     Returns:
         True if the server's log reaches the start of the term that is replaced.
     """
-    status = attempt.statuses_by_server[server_id]
-    log_end = Position(status.last_entry_term, status.received_position)
+    log_end = log_end_of(attempt.statuses_by_server[server_id])
     return reaches_latest_term(attempt.history, log_end)
 
 
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -8,11 +8,11 @@
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import log_end_of
 from pollencleat.core.data import (
     AuditEntry,
     DatabaseGroup,
     Fleet,
-    Position,
     ServerStatus,
 )
 from pollencleat.core.effects import (
@@ -312,8 +312,9 @@
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
             return
         attempt.chosen_server_id = chosen
+        attempt.chosen_log_end = log_end_of(attempt.statuses_by_server[chosen])
         self._log_choice(attempt, chosen, "")
-        self._broadcast_writes_ended(attempt, chosen)
+        self._broadcast_writes_ended(attempt)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
@@ -352,15 +353,15 @@
             unregistered=list(vms.lapsed_by_group.get(attempt.group_id, ())),
         )
 
-    def _broadcast_writes_ended(self, attempt: Attempt, chosen: str) -> None:
+    def _broadcast_writes_ended(self, attempt: Attempt) -> None:
         """Announce the end of the old term's writes to all members.
 
         Replicas can then serve reads until the next primary is published.
         """
         board = self.board
-        status = attempt.statuses_by_server[chosen]
-        position = Position(status.last_entry_term, status.received_position)
-        message = WritesEnded(board.node_id, attempt.group_id, attempt.term, position)
+        message = WritesEnded(
+            board.node_id, attempt.group_id, attempt.term, attempt.chosen_log_end
+        )
         board.writes_ended_by_group[attempt.group_id] = message
         for node_id in board.fleet.members_by_id:
             if node_id != board.node_id:
@@ -381,6 +382,7 @@
                 attempt.chosen_server_id,
                 attempt.log_term,
                 attempt.term,
+                attempt.chosen_log_end,
             )
         )
 
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from pollencleat.core.blackboard import Blackboard, ServerView
-from pollencleat.core.bounds import is_before
+from pollencleat.core.bounds import is_before, log_end_of
 from pollencleat.core.constants import PRIMARY_TIMEOUT_S
 from pollencleat.core.data import GroupTerm, Position
 from pollencleat.core.messages import Sighting
@@ -124,7 +124,7 @@
     """
     if view.status is None:
         return view.applied
-    received = Position(view.status.last_entry_term, view.status.received_position)
+    received = log_end_of(view.status)
     if view.applied is not None and is_before(received, view.applied):
         return view.applied
     return received
