Promotion: the log of a replica that left counts until its commits are elsewhere

What callers saw: a commit that had been acknowledged was missing after the next change of primary.

Cause: a replica that is leaving acknowledges commits until it ends. Once its entry was gone it was forgotten at once, because it had announced that it leaves; has_every_acknowledged_commit then saw that every replica had answered. If the other replicas lacked the commit and the primary crashed, one of them was promoted.

Evidence, before the change (bench/platform_path_test.py, test_commit_that_only_a_replica_that_left_had_received_is_not_lost):

> assert not promoted, promoted[0].log E AssertionError: [LogEntry(term=3, number=1, key='warm', ...), LogEntry(term=3, number=2, key='warm', ...)]

The promoted log ends at 2; the acknowledged commit is number 3.

The departed log now counts as one that does not answer until k registered replicas have received a position that the primary reported for a request after the departure: every commit that the departed server acknowledged lies at or below it. routing/departed_logs_test.py checks the choice against random histories; mutants that forget, count one replica less or accept older replies lose commits there. A choice that waits says so once, with what is missing.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -363,6 +363,73 @@
     assert (await reader.query("READ k")).rows == ("only-on-2",)
 
 
+async def _are_gone(cluster, *server_ids):
+    known = [node.board.inventory.servers_by_id for node in cluster.nodes]
+    return not any(
+        server_id in servers for servers in known for server_id in server_ids
+    )
+
+
+async def _crash_primary_and_expect_no_loss(cluster):
+    """Crash books-0, the only server with the commit, and let it come back."""
+    primary = cluster.group.servers[0]
+    await primary.stop()
+    await asyncio.sleep(4.0)
+    promoted = [server for server in cluster.group.servers[1:] if server.is_primary]
+    assert not promoted, promoted[0].log
+    await primary.restart()
+    cluster.group.unreachable_replica_ids.clear()
+    await wait_for(lambda: cluster.try_write(1), 15.0)
+    reader = await cluster.connect("main-db", 1)
+    assert (await reader.query("READ k")).rows == ("only-on-2",)
+
+
+async def test_commit_that_only_a_replica_that_left_had_received_is_not_lost(cluster):
+    """The log of a replica that had announced that it leaves was forgotten."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+@pytest.mark.parametrize("has_traffic", [False, True])
+async def test_promotion_after_a_release_does_not_wait_for_the_released_log(
+    cluster, has_traffic
+):
+    """Load pattern: replicas are released all day, and a primary crashes later."""
+    client = await cluster.connect("main-db", 1)
+    reader = await cluster.connect("old-db", 1)
+    released = cluster.group.by_id("books-2")
+    released.draining = True
+    await asyncio.sleep(1.2)
+    await released.stop()
+    status_calls = sum(server.status_calls for server in cluster.group.servers)
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await asyncio.sleep(0.2)
+
+    async def is_forgotten():
+        if has_traffic:
+            assert not (await client.query("WRITE k v")).error
+            assert not (await reader.query("READ k")).error
+        boards = [node.board for node in cluster.nodes]
+        return not any(board.departed_logs_by_group.get("books") for board in boards)
+
+    await wait_for(is_forgotten, 2.0)
+    calls_after = sum(server.status_calls for server in cluster.group.servers)
+    assert calls_after - status_calls <= 8
+    await cluster.group.servers[0].stop()
+
+    async def is_promoted():
+        return cluster.group.by_id("books-1").is_primary
+
+    await wait_for(is_promoted, 5.0)
+
+
 async def test_draining_primary_is_replaced_before_it_stops(cluster):
     cluster.group.servers[0].draining = True
 
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -18,6 +18,7 @@
     GroupTerm,
     Inventory,
     Position,
+    ServerLog,
     ServerStatus,
     VmList,
     with_registered_servers,
@@ -86,6 +87,7 @@
         refused_at_s: When the server last refused a connection; None once it has
             answered again.
         applied: Log position in the latest statement reply that carried one.
+        applied_sent_at_s: When the request of that reply was sent.
         tracks_requests: Every request to the server is recorded, so that the time
             without an answer is exact; otherwise the server's position is sampled.
         open_requests: Requests that are neither answered nor abandoned.
@@ -107,6 +109,7 @@
     fresh_as_of_s: float = -1e9
     refused_at_s: float | None = None
     applied: Position | None = None
+    applied_sent_at_s: float = -1e9
     tracks_requests: bool = False
     open_requests: int = 0
     unanswered_since_s: float | None = None
@@ -235,6 +238,9 @@
         removal_learned_at_s: When this node learned of a member's removal, by
             incarnation.
         member_learned_at_s: When this node learned of a member, by incarnation.
+        departed_logs_by_group: Logs of servers that have ended, and when this node
+            learned of it.  They may have been the only ones besides the primary's that
+            held an acknowledged commit; they are dropped once that is excluded.
     """
 
     node_id: str
@@ -273,6 +279,9 @@
     primary_learned_at_s: dict[str, float] = field(default_factory=dict)
     removal_learned_at_s: dict[str, float] = field(default_factory=dict)
     member_learned_at_s: dict[str, float] = field(default_factory=dict)
+    departed_logs_by_group: dict[str, dict[ServerLog, float]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         """Create the index of the initial fleet state."""
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -42,6 +42,18 @@
     born_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLog:
+    """The log of one start of a server; it is lost when that process ends for good.
+
+    Attributes:
+        born_ms: Start time of the server in Unix milliseconds, 0 if unknown.
+    """
+
+    server_id: str
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class DatabaseGroup:
     """A replicated database: one primary and its replicas.
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -57,6 +57,7 @@
 from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import is_current_promoter
 from pollencleat.reports.logs import NonBlockingOutput
+from pollencleat.routing.departed_logs import DepartedLogController
 from pollencleat.routing.replica_positions import ReplicaPositionController
 
 BOARD_TICK_S = 0.1
@@ -122,6 +123,9 @@
             self.board, self.orders, self.access.servers_to_probe, read_boottime_s
         )
         self.access.probe_server = self.liveness.probe_now
+        self.departed_logs = DepartedLogController(
+            self.board, self.access.request_probe
+        )
         self.replica_positions = ReplicaPositionController(
             self.board, self.access.request_probe
         )
@@ -209,6 +213,7 @@
         )
 
     def _check_servers(self) -> None:
+        self.departed_logs.tick(read_boottime_s())
         self.replica_positions.tick(read_boottime_s())
         self.liveness.tick()
 
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -395,7 +395,9 @@
         """
         if reply.position is None:
             return
-        self.board.server_view(server_id).applied = reply.position
+        view = self.board.server_view(server_id)
+        view.applied = reply.position
+        view.applied_sent_at_s = sent_at_s
         self._note_primary_position(server_id, reply.position, sent_at_s, group_id)
 
     async def open_tracked(
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -87,6 +87,7 @@
         is_old_primary_asked: A probe of the old primary is in progress.
         is_withdrawn: The old primary still leads and is kept.
         are_follow_orders_sent: The other servers were ordered to follow the chosen one.
+        logged_as_lacking: What the choice lacked when that was last logged.
     """
 
     group_id: str
@@ -113,6 +114,7 @@
     is_old_primary_asked: bool = False
     is_withdrawn: bool = False
     are_follow_orders_sent: bool = False
+    logged_as_lacking: tuple = ()
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Switch to a phase and reset its query round.
--- /dev/null
+++ b/pollencleat/promotion/missing_logs.py
@@ -0,0 +1,60 @@
+"""Logs of a group that no registered server has, and whether they may be needed."""
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import DatabaseGroup
+from pollencleat.promotion.attempt import Attempt, is_final_position_reliable
+
+
+def find_missing_logs(board: Blackboard, attempt: Attempt) -> tuple[str, ...]:
+    """Return logs that cannot be asked and may have acknowledged commits.
+
+    Args:
+        board: The node's state.
+        attempt: The attempt.
+
+    Returns:
+        Ids of lapsed servers, and names of the departed logs that count still.  The
+        logs that the old primary kept before its term are not among them: it was
+        chosen with every commit that they can have acknowledged.
+    """
+    lapsed = board.vms.lapsed_by_group.get(attempt.group_id, ())
+    departed = board.departed_logs_by_group.get(attempt.group_id, ())
+    old_primary = attempt.promotion.old_primary
+    names = [
+        f"{log.server_id}@{log.born_ms}"
+        for log in departed
+        if log.server_id != old_primary
+    ]
+    return (*lapsed, *names)
+
+
+def can_waiting_help(board: Blackboard, attempt: Attempt, group: DatabaseGroup) -> bool:
+    """Return whether a missing log, or the proof that it is not needed, may still come.
+
+    Args:
+        board: The node's state.
+        attempt: The attempt, with the answers of the current round.
+        group: The group.
+
+    Returns:
+        False if all servers that may have a log have answered, the log of the old
+        primary is gone, and every possible writer has reported or is gone: the commits
+        that are missing now cannot come back.
+    """
+    if attempt.unconfirmed_incarnations:
+        return True
+    if board.vms.lapsed_by_group.get(attempt.group_id):
+        return True
+    old_primary = attempt.promotion.old_primary
+    for server_id in group.server_ids:
+        if server_id == old_primary:
+            continue
+        if attempt.statuses_by_server.get(server_id) is None:
+            return True
+    old_status = attempt.old_primary_status
+    if old_status is None:
+        old_status = attempt.statuses_by_server.get(old_primary)
+    if old_status is not None:
+        return is_final_position_reliable(attempt, old_status)
+    departed = board.departed_logs_by_group.get(attempt.group_id, ())
+    return all(log.server_id != old_primary for log in departed)
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -5,6 +5,8 @@
 attempt, whose decisions are functions without I/O.
 """
 
+import structlog
+
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import (
     AuditEntry,
@@ -42,6 +44,7 @@
     is_caught_up,
     is_current_promoter,
 )
+from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
 
 PUBLISH_PURPOSE = "promotion publish"
 
@@ -61,6 +64,8 @@
 the 20 s bound for a change of primary; a shorter one would lose writes that the replica
 has received."""
 
+log = structlog.get_logger()
+
 
 class AttemptSteering:
     """Advances this node's attempts through their phases.
@@ -287,9 +292,12 @@
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
             return
-        unregistered = self.board.vms.lapsed_by_group.get(attempt.group_id, ())
+        unregistered = find_missing_logs(self.board, attempt)
         if not has_every_acknowledged_commit(attempt, group, chosen, unregistered):
-            return
+            is_waiting = can_waiting_help(self.board, attempt, group)
+            self._log_incomplete_choice(attempt, chosen, unregistered, is_waiting)
+            if is_waiting:
+                return
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
@@ -299,6 +307,37 @@
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
+    def _log_incomplete_choice(
+        self,
+        attempt: Attempt,
+        chosen: str,
+        unregistered: tuple[str, ...],
+        is_waiting: bool,
+    ) -> None:
+        """Log once what a choice lacks that may not have every acknowledged commit."""
+        unanswered = [
+            server_id
+            for server_id, status in attempt.statuses_by_server.items()
+            if status is None
+        ]
+        lacking = (chosen, *unanswered, *unregistered, is_waiting)
+        if lacking == attempt.logged_as_lacking:
+            return
+        attempt.logged_as_lacking = lacking
+        event = "promotion waits" if is_waiting else "commits may be lost"
+        log.warning(
+            event,
+            group=attempt.group_id,
+            attempt=attempt.promotion.attempt_id,
+            best=chosen,
+            position=str(attempt.statuses_by_server[chosen].received_position),
+            unanswered=unanswered,
+            unregistered=list(unregistered),
+            old_primary=attempt.promotion.old_primary,
+            old_primary_answered=attempt.old_primary_status is not None,
+            unconfirmed=len(attempt.unconfirmed_incarnations),
+        )
+
     def _broadcast_writes_ended(self, attempt: Attempt, chosen: str) -> None:
         """Announce the end of the old term's writes to all members.
 
--- /dev/null
+++ b/pollencleat/routing/departed_logs_test.py
@@ -0,0 +1,305 @@
+"""Departed logs, against a model of the commits that depended on them."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import AcknowledgedBounds
+from pollencleat.core.data import (
+    BackendServer,
+    DatabaseGroup,
+    Fleet,
+    GroupTerm,
+    Inventory,
+    Member,
+    Position,
+    Promotion,
+    ServerLog,
+    ServerStatus,
+    VmList,
+)
+from pollencleat.promotion.attempt import (
+    Attempt,
+    choose_server,
+    has_every_acknowledged_commit,
+)
+from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
+from pollencleat.routing.departed_logs import (
+    MAX_PROBE_INTERVAL_S,
+    TRAFFIC_WAIT_S,
+    DepartedLogController,
+)
+
+START_S = 100.0
+STEP_S = 0.1
+TERM = 2
+
+
+class Group:
+    """A node that knows the primary p of a group and the replicas after it.
+
+    Attributes:
+        acknowledged: Number of the last acknowledged commit.
+        lost_received: Last commits that the departed logs had received.
+    """
+
+    def __init__(self, replica_ids="rs", acknowledging=1):
+        self.now_s = START_S
+        self.acknowledging = acknowledging
+        self.board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+        self.group = DatabaseGroup("g", "g", (), (), acknowledging)
+        self.board.declared_inventory = Inventory(
+            1, groups_by_id={"g": self.group}, connections_by_group={"g": 20}
+        )
+        member = Member("n", "n-1", "a", "", "", 0, True)
+        self.board.fleet = Fleet(
+            1, {"n": member}, {}, {"g": GroupTerm("g", TERM, "p")}, seats=2
+        )
+        self.probed = []
+        self.controller = DepartedLogController(self.board, self.probed.append)
+        self.received = dict.fromkeys(("p", *replica_ids), 0)
+        self.servers = {
+            server_id: BackendServer(server_id, "g", "h", port, "a", 4, 20, 1)
+            for port, server_id in enumerate(self.received, start=1)
+        }
+        self.leaving = set()
+        self.acknowledged = 0
+        self.lost_received = []
+        self.publish()
+
+    def publish(self):
+        self.board.adopt_vms(
+            VmList(
+                self.board.vms.version + 1,
+                None,
+                tuple(sorted(self.leaving)),
+                dict(self.servers),
+            )
+        )
+        self.tick()
+
+    def tick(self, after_s=STEP_S):
+        self.now_s += after_s
+        self.board.fleet_confirmed_at_s = self.now_s
+        self.controller.tick(self.now_s)
+
+    def open_logs(self):
+        return sorted(self.board.departed_logs_by_group.get("g", {}))
+
+    def commit(self, *receiver_ids):
+        self.received["p"] += 1
+        for server_id in receiver_ids:
+            self.receive(server_id)
+        self.acknowledge()
+
+    def receive(self, server_id):
+        self.received[server_id] = self.received["p"]
+        self.acknowledge()
+
+    def acknowledge(self):
+        replicas = [self.received[name] for name in self.received if name != "p"]
+        replicas = sorted([*replicas, 0, 0], reverse=True)
+        self.acknowledged = max(self.acknowledged, replicas[self.acknowledging - 1])
+
+    def answer(self, server_id):
+        """Record an ordinary reply of a server."""
+        position = Position(TERM, self.received[server_id])
+        view = self.board.server_view(server_id)
+        view.applied = position
+        view.applied_sent_at_s = self.now_s
+        if server_id == "p":
+            bounds = self.board.bounds_by_group.setdefault("g", AcknowledgedBounds())
+            bounds.add(TERM, self.now_s, position)
+
+    def leave(self, server_id):
+        self.leaving.add(server_id)
+        self.publish()
+        del self.servers[server_id]
+        del self.received[server_id]
+        self.leaving.discard(server_id)
+        self.publish()
+
+    def find_lost_commit(self, unanswered=()):
+        """Lose the primary; return whether a choice lacks an acknowledged commit."""
+        attempt = self.make_attempt(unanswered)
+        group = self.board.inventory.groups_by_id["g"]
+        chosen = choose_server(attempt, group.server_ids, ())
+        if chosen is None:
+            return False
+        missing = find_missing_logs(self.board, attempt)
+        if not has_every_acknowledged_commit(attempt, group, chosen, missing):
+            return False
+        return self.received[chosen] < self.acknowledged
+
+    def make_attempt(self, unanswered=()):
+        promotion = Promotion("a/1", "n", "n-1", "p", False, "primary lost")
+        attempt = Attempt("g", 3, 3, promotion, 0.0, 0.0, {"m-1"})
+        for server_id, number in self.received.items():
+            status = ServerStatus(TERM, number, number, TERM, True, None)
+            is_answered = server_id not in ("p", *unanswered)
+            attempt.statuses_by_server[server_id] = status if is_answered else None
+        return attempt
+
+
+def test_commit_that_only_a_leaving_replica_had_is_not_forgotten():
+    group = Group()
+    group.commit("s")
+    group.leave("s")
+    assert group.open_logs() == [ServerLog("s", 1)]
+    group.answer("p")
+    group.answer("r")
+    group.tick()
+    assert not group.find_lost_commit()
+    group.receive("r")
+    group.answer("r")
+    group.tick()
+    assert not group.open_logs()
+
+
+def test_departure_is_forgotten_within_two_seconds_without_traffic():
+    """Load pattern: replicas are released all day; an idle group must not wait."""
+    group = Group()
+    group.commit("r", "s")
+    group.leave("s")
+    left_at_s = group.now_s
+    while group.open_logs():
+        assert group.now_s - left_at_s < 2.0
+        for server_id in group.probed:
+            view = group.board.server_view(server_id)
+            number = group.received[server_id]
+            view.status = ServerStatus(
+                TERM, number, number, TERM, server_id != "p", None
+            )
+            view.status_sent_at_s = group.now_s
+        group.tick()
+    assert sorted(group.probed) == ["p", "r"]
+
+
+def test_ordinary_replies_make_probes_needless():
+    group = Group()
+    group.commit("r", "s")
+    group.leave("s")
+    group.answer("p")
+    group.answer("r")
+    group.tick()
+    assert not group.open_logs() and not group.probed
+
+
+def test_probes_for_a_replica_that_lags_become_rare():
+    group = Group()
+    group.commit("s")
+    group.leave("s")
+    for _ in range(int(60 / STEP_S)):
+        group.answer("p")
+        group.answer("r")
+        group.tick()
+    assert group.open_logs() and set(group.probed) == {"r"}
+    assert len(group.probed) < 60 / MAX_PROBE_INTERVAL_S + 6
+    assert TRAFFIC_WAIT_S >= STEP_S
+
+
+def test_replies_to_requests_from_before_the_departure_prove_nothing():
+    group = Group()
+    group.commit("r", "s")
+    group.answer("p")
+    group.answer("r")
+    group.leave("s")
+    group.tick()
+    assert group.open_logs()
+
+
+def test_positions_of_a_term_without_a_write_permit_prove_nothing():
+    group = Group()
+    group.commit("s")
+    group.leave("s")
+    group.answer("p")
+    group.receive("r")
+    group.answer("r")
+    group.board.fleet = replace(
+        group.board.fleet, terms_by_group={"g": GroupTerm("g", TERM + 1, "")}
+    )
+    group.tick()
+    assert group.open_logs()
+
+
+def test_choice_waits_for_a_departed_log_only_while_something_may_still_come():
+    group = Group()
+    group.commit("s")
+    group.leave("s")
+    declared = group.board.inventory.groups_by_id["g"]
+    attempt = group.make_attempt()
+    assert can_waiting_help(group.board, attempt, declared)
+    attempt.unconfirmed_incarnations = set()
+    assert can_waiting_help(group.board, attempt, declared)
+    group.leave("p")
+    declared = group.board.inventory.groups_by_id["g"]
+    attempt.statuses_by_server.pop("p")
+    assert not can_waiting_help(group.board, attempt, declared)
+    attempt.statuses_by_server["r"] = None
+    assert can_waiting_help(group.board, attempt, declared)
+
+
+def find_lost_commit(choose, acknowledging, count, make_controller):
+    """Return whether a random history ends in a choice that loses a commit."""
+    group = Group("rstuv"[:count], acknowledging)
+    group.controller = make_controller(group.board, group.probed.append)
+    group.tick()
+    for _ in range(40):
+        replicas = [name for name in group.servers if name != "p"]
+        some = choose.choice(replicas)
+        action = choose.choice(["commit", "receive", "reply", "reply", "p", "leave"])
+        if action == "commit":
+            group.commit(some)
+        elif action == "receive":
+            group.receive(some)
+        elif action == "reply":
+            group.answer(some)
+        elif action == "p":
+            group.answer("p")
+        elif len(replicas) > 1:
+            group.leave(some)
+        group.tick()
+        unanswered = choose.sample(replicas, choose.randint(0, acknowledging - 1))
+        unanswered = [name for name in unanswered if name in group.servers]
+        if group.find_lost_commit(unanswered):
+            return True
+    return False
+
+
+@settings(max_examples=300)
+@given(st.randoms(use_true_random=False), st.integers(1, 2), st.integers(3, 5))
+def test_no_choice_loses_a_commit_of_a_departed_log(choose, acknowledging, count):
+    assert not find_lost_commit(choose, acknowledging, count, DepartedLogController)
+
+
+class ForgetsDepartures(DepartedLogController):
+    def _add(self, server, now_s):
+        pass
+
+
+class AcceptsOlderReplies(DepartedLogController):
+    def _is_covered(self, group, departed, since_s, now_s):
+        return super()._is_covered(group, departed, since_s - 1.0, now_s)
+
+
+class OneReplicaLess(DepartedLogController):
+    def _is_covered(self, group, departed, since_s, now_s):
+        group = replace(group, acknowledging_replicas=group.acknowledging_replicas - 1)
+        return super()._is_covered(group, departed, since_s, now_s)
+
+
+@pytest.mark.parametrize(
+    "mutant", [ForgetsDepartures, AcceptsOlderReplies, OneReplicaLess]
+)
+def test_the_check_finds_a_choice_that_loses_a_commit(mutant):
+    generator = random.Random(1)
+    assert any(
+        find_lost_commit(generator, acknowledging, count, mutant)
+        for _ in range(300)
+        for acknowledging in (1, 2)
+        for count in (3, 4)
+    )
