Engine: the position of every acknowledged commit is recorded

An acknowledged commit could be lost where a replica does not answer.

Cause: a promotion that cannot ask all replicas takes the highest position that any node has received from the primary as a bound of all acknowledged commits. A reply's position was recorded only if the primary was confirmed in the term at that moment. It is not after a start, before the first write in a term, and whenever one connection to the primary has broken, which is what happens while a primary dies: a commit that another connection still answered was then acknowledged but not recorded, and a replica below it could be chosen.

Evidence, before the change:

> assert seen["g"].position == Position(1, 1) E KeyError: 'g' FAILED pollencleat/engine/executor_test.py::test_acknowledged_commit_counts_ while_a_restart_of_its_primary_is_suspected[False] (and [True])

A commit is now recorded right before it is acknowledged, while the write permit is known to hold: a server that accepted it leads and has its log. A gateway need not record it, since only the node that acknowledges counts.

--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -448,6 +448,25 @@
         bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
         bounds.add(term.term, sent_at_s, position)
 
+    def note_commit(
+        self, term: GroupTerm, reply: ServerReply, sent_at_s: float
+    ) -> None:
+        """Record the log position of a commit before it is acknowledged.
+
+        A server that accepts a write leads and has its log, whatever is suspected of
+        it.  A promotion relies on every acknowledged commit being recorded.
+
+        Args:
+            term: Term of the commit, in which this node may still write.
+            reply: The primary's reply.
+            sent_at_s: Local time in seconds at which the request was sent.
+        """
+        if reply.position is None:
+            return
+        group_id = term.group_id
+        bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
+        bounds.add(term.term, sent_at_s, reply.position)
+
     def newest_position(self, term: GroupTerm | None) -> Position | None:
         """Return the newest log position that the primary of a term has reported.
 
--- a/pollencleat/engine/executor_test.py
+++ b/pollencleat/engine/executor_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pollencleat.core.data import Outcome
+from pollencleat.core.data import Outcome, Position
 from pollencleat.core.errors import (
     NotRunError,
     StatementTimeoutError,
@@ -108,3 +108,23 @@
     begin_and_write(sessions)
     lapse_permit_after(sessions, 1)
     assert isinstance(sessions.execute(0, Commit("c1")), UnknownOutcomeError)
+
+
+@pytest.mark.parametrize("in_transaction", [False, True])
+def test_acknowledged_commit_counts_while_a_restart_of_its_primary_is_suspected(
+    sessions, in_transaction
+):
+    """A promotion took the highest position that the nodes knew for the last commit."""
+    board = sessions.access.board
+    if in_transaction:
+        begin_and_write(sessions)
+    board.bounds_by_group.clear()
+    board.server_view("s").restart_suspected_at_s = 1e9
+    if in_transaction:
+        assert sessions.execute(0, Commit("c1")) is None
+    else:
+        assert write(sessions) is None
+    assert sessions.server.committed == ["w1"]
+    seen = board.seen_positions(sessions.access.clock())
+    assert seen["g"].position == Position(1, 1)
+    assert seen["g"].age_s < 1.0
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -96,6 +96,7 @@
             raise TransactionLostError("the write permit lapsed before the commit")
         lease = transaction.lease
         limit_s = transaction.route.statement_limit_ms / 1000
+        sent_at_s = self._access.clock()
         try:
             reply = await self._steps.await_reply(
                 lease, lease.connection.commit(statement), limit_s, transaction.route
@@ -116,6 +117,7 @@
             return Answer(reply.rows, reply.receipt, reply.position)
         if not self._access.is_still_writable(term):
             raise UnknownOutcomeError("the write permit lapsed before the answer")
+        self._access.note_commit(term, reply, sent_at_s)
         self._session.note_commit(transaction.route.group_id, reply.position)
         return Answer(reply.rows, reply.receipt, reply.position)
 
--- a/pollencleat/engine/writes.py
+++ b/pollencleat/engine/writes.py
@@ -90,6 +90,7 @@
         if not self._access.is_still_writable(term):
             raise UnknownOutcomeError("the write permit lapsed before the answer")
         self._access.note_primary_confirmed(term, sent_at_s)
+        self._access.note_commit(term, reply, sent_at_s)
         self._session.note_commit(route.group_id, reply.position)
         return Answer(reply.rows, reply.receipt, reply.position)
 
