Promotion: a crashed replica's log counts on when its address is used again

What callers saw: an acknowledged commit was missing after a change of primary.

Cause: a lapsed server was forgotten as soon as any server registered at its address, since it cannot come back then. That its log is gone does not mean that the log is not needed: it may have been the only one besides the primary's with a commit, and the server at its address starts without a log.

Evidence, before the change (bench/platform_path_test.py, test_commit_of_a_crashed_replica_whose_address_is_used_again_is_not_lost):

E AssertionError: [LogEntry(term=3, number=1, key='warm', ...), LogEntry(term=3, number=2, key='warm', ...)] E assert not [<standins.line_server.LineServer object ...>]

The promoted log lacks number 3, which had been acknowledged.

Its log now counts as departed from then on, by the same rule as that of a server that announced that it leaves, so that an earlier regression stays fixed: a promotion does not wait for a server whose successor has caught up.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -10,6 +10,7 @@
 from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
 from pollencleat.tools.main import main
+from standins.line_server import LineServer
 
 
 @pytest.fixture
@@ -397,6 +398,29 @@
     await _crash_primary_and_expect_no_loss(cluster)
 
 
+async def test_commit_of_a_crashed_replica_whose_address_is_used_again_is_not_lost(
+    cluster,
+):
+    """An empty server at its address made the crashed one count as not needed."""
+    cluster.group.unreachable_replica_ids |= {"books-1", "books-3"}
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    crashed = cluster.group.by_id("books-2")
+    await crashed.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    successor = LineServer(cluster.group, "books-3", crashed.zone)
+    successor.port = crashed.port
+    await successor.start()
+    cluster.group.servers.append(successor)
+    await wait_for(lambda: _are_known(cluster, "books-3"))
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+async def _are_known(cluster, server_id):
+    known = [node.board.inventory.servers_by_id for node in cluster.nodes]
+    return all(server_id in servers for servers in known)
+
+
 @pytest.mark.parametrize("has_traffic", [False, True])
 async def test_promotion_after_a_release_does_not_wait_for_the_released_log(
     cluster, has_traffic
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -115,8 +115,8 @@
     def _discard_lapsed(self, server: BackendServer) -> None:
         """Discard lapsed servers with the id or the address of a registered server.
 
-        They have returned, or cannot return because their address is in use again, so
-        that no promotion needs to wait for them.
+        They have returned, or cannot return because their address is in use again.
+        What their logs may have held is tracked in routing/departed_logs.py.
         """
         for group_id, lapsed in self._lapsed_by_group.items():
             self._lapsed_by_group[group_id] = tuple(
--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -95,10 +95,14 @@
                     )
 
     def _note_departures(self, vms: VmList, now_s: float) -> None:
+        addresses = {
+            (server.host, server.port) for server in vms.servers_by_id.values()
+        }
         for server_id, server in list(self._servers_by_id.items()):
             if server_id in vms.servers_by_id:
                 continue
-            if server_id in self._vms.leaving:
+            has_announced = server_id in self._vms.leaving
+            if has_announced or (server.host, server.port) in addresses:
                 del self._servers_by_id[server_id]
                 self._add(server, now_s)
         self._servers_by_id.update(vms.servers_by_id)
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -123,6 +123,16 @@
         self.leaving.discard(server_id)
         self.publish()
 
+    def crash(self, server_id):
+        """Lose a server, whose address a new one without a log uses at once."""
+        crashed = self.servers.pop(server_id)
+        del self.received[server_id]
+        self.publish()
+        new_id = f"{server_id}+"
+        self.servers[new_id] = replace(crashed, server_id=new_id)
+        self.received[new_id] = 0
+        self.publish()
+
     def find_lost_commit(self, unanswered=()):
         """Lose the primary; return whether a choice lacks an acknowledged commit."""
         attempt = self.make_attempt(unanswered)
@@ -160,6 +170,19 @@
     assert not group.open_logs()
 
 
+def test_commit_that_only_a_crashed_replica_had_is_not_forgotten_with_its_address():
+    group = Group()
+    group.commit("s")
+    group.crash("s")
+    assert group.open_logs() == [ServerLog("s", 1)]
+    assert not group.find_lost_commit()
+    group.receive("s+")
+    group.answer("p")
+    group.answer("s+")
+    group.tick()
+    assert not group.open_logs()
+
+
 def test_departure_is_forgotten_within_two_seconds_without_traffic():
     """Load pattern: replicas are released all day; an idle group must not wait."""
     group = Group()
@@ -251,7 +274,8 @@
     for _ in range(40):
         replicas = [name for name in group.servers if name != "p"]
         some = choose.choice(replicas)
-        action = choose.choice(["commit", "receive", "reply", "reply", "p", "leave"])
+        actions = ["commit", "receive", "reply", "reply", "p", "leave", "crash"]
+        action = choose.choice(actions)
         if action == "commit":
             group.commit(some)
         elif action == "receive":
@@ -260,6 +284,8 @@
             group.answer(some)
         elif action == "p":
             group.answer("p")
+        elif action == "crash":
+            group.crash(some)
         elif len(replicas) > 1:
             group.leave(some)
         group.tick()
