Promotion: a replica that came back empty does not stand for its former log

What callers saw: an acknowledged commit was missing after a change of primary.

Cause: a replica that starts again under its id holds nothing of before, but it is registered and answers. The choice of a primary counted it as one of the replicas whose logs had been looked at, so that a commit that only it had received, besides the primary, looked impossible.

Evidence, before the change (bench/platform_path_test.py, test_commit_of_a_replica_that_came_back_empty_is_not_lost[True] and [False], twice each):

E AssertionError: [LogEntry(term=3, number=1, key='warm', ...), LogEntry(term=3, number=2, key='warm', ...)]

The promoted log lacks number 3, which had been acknowledged.

A changed start time now makes the former log a departed one. The entry with the new start time may come after the promotion began, so an attempt also counts a server whose log is empty, though it knew a position of it, as one that does not answer; it now takes the positions of ordinary replies for this too, since statuses are rare.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -416,6 +416,27 @@
     await _crash_primary_and_expect_no_loss(cluster)
 
 
+@pytest.mark.parametrize("is_noticed", [True, False])
+async def test_commit_of_a_replica_that_came_back_empty_is_not_lost(
+    cluster, is_noticed
+):
+    """A replica that answers without its former log counted as one that has it."""
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    cluster.group.unreachable_replica_ids.add("books-2")
+    restarted = cluster.group.by_id("books-2")
+    await restarted.restart_empty()
+
+    async def is_known():
+        known = [node.board.vms.servers_by_id["books-2"] for node in cluster.nodes]
+        return all(server.born_ms == restarted.born for server in known)
+
+    if is_noticed:
+        await wait_for(is_known)
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
 async def _are_known(cluster, server_id):
     known = [node.board.inventory.servers_by_id for node in cluster.nodes]
     return all(server_id in servers for servers in known)
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -17,7 +17,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.blackboard import Blackboard, ServerView
 from pollencleat.core.bounds import is_before
 from pollencleat.core.constants import (
     MAX_CLOCK_DRIFT,
@@ -160,13 +160,22 @@
         },
         last_crash_at_s=board.last_crash_at_s(),
         known_position_by_server={
-            server_id: view.status.received_position
+            server_id: find_known_position(view)
             for server_id, view in board.servers_by_id.items()
-            if view.status is not None
         },
     )
 
 
+def find_known_position(view: ServerView) -> int:
+    """Return the highest log position, of any term, in a server's latest reports."""
+    reported = [0]
+    if view.status is not None:
+        reported.append(view.status.received_position)
+    if view.applied is not None:
+        reported.append(view.applied.position)
+    return max(reported)
+
+
 def can_keep_old_primary(attempt: Attempt) -> bool:
     """Return whether the old primary may be kept if it answers again.
 
@@ -295,12 +304,15 @@
 
     Args:
         attempt: The attempt, with the answers of the current round.
-        server_id: A server that answered.
+        server_id: A server.
 
     Returns:
-        True if its log is empty now and was not empty when the attempt began.
+        True if its log is empty now and was not empty when the attempt began; False if
+        it has not answered.
     """
-    status = attempt.statuses_by_server[server_id]
+    status = attempt.statuses_by_server.get(server_id)
+    if status is None:
+        return False
     if not status.read_only and status.term >= attempt.log_term:
         # This attempt has already promoted the server, and the answer was lost.
         return False
@@ -317,9 +329,9 @@
     """Return whether a chosen server certainly has every acknowledged commit.
 
     A commit that k replicas must acknowledge is on at least one held replica unless k
-    or more replicas did not answer; the chosen server is the most advanced of those
-    that answered.  If too many did not answer, the chosen server's log must reach the
-    final position of the old primary, or the highest position that any node has
+    or more replicas did not answer or have lost their logs; the chosen server is the
+    most advanced of those that answered.  Otherwise, the chosen server's log must reach
+    the final position of the old primary, or the highest position that any node has
     received from it: every acknowledgement passed through one of the nodes.
 
     Args:
@@ -339,7 +351,10 @@
         replica_id
         for replica_id in (*group.server_ids, *unregistered)
         if replica_id != attempt.promotion.old_primary
-        and attempt.statuses_by_server.get(replica_id) is None
+        and (
+            attempt.statuses_by_server.get(replica_id) is None
+            or has_lost_log(attempt, replica_id)
+        )
     ]
     if len(unanswered) < group.acknowledging_replicas:
         return True
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -67,6 +67,18 @@
     assert not has_every_acknowledged_commit(attempt, group, "r1")
 
 
+def test_replica_that_lost_its_log_counts_as_one_that_does_not_answer():
+    """Its answer of an empty log made a choice without its commits look complete."""
+    attempt = make_attempt({"old": None, "r1": make_status(5), "r2": make_status(0)})
+    attempt.known_position_by_server = {"r1": 5, "r2": 6}
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert choose_server(attempt, group.server_ids, ()) == "r1"
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
+    attempt.old_primary_status = make_status(5)
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
 def test_choice_is_always_safe_without_acknowledging_replicas():
     attempt = make_attempt({"r1": make_status(1), "r2": None})
     assert has_every_acknowledged_commit(attempt, make_group(0), "r1")
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -2,7 +2,11 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import DatabaseGroup
-from pollencleat.promotion.attempt import Attempt, is_final_position_reliable
+from pollencleat.promotion.attempt import (
+    Attempt,
+    has_lost_log,
+    is_final_position_reliable,
+)
 
 
 def find_missing_logs(board: Blackboard, attempt: Attempt) -> tuple[str, ...]:
@@ -15,7 +19,8 @@
     Returns:
         Ids of lapsed servers, and names of the departed logs that count still.  The
         logs that the old primary kept before its term are not among them: it was
-        chosen with every commit that they can have acknowledged.
+        chosen with every commit that they can have acknowledged.  Neither are those
+        of servers whose answers in this attempt show that they have lost their logs.
     """
     lapsed = board.vms.lapsed_by_group.get(attempt.group_id, ())
     departed = board.departed_logs_by_group.get(attempt.group_id, ())
@@ -23,7 +28,7 @@
     names = [
         f"{log.server_id}@{log.born_ms}"
         for log in departed
-        if log.server_id != old_primary
+        if log.server_id != old_primary and not has_lost_log(attempt, log.server_id)
     ]
     return (*lapsed, *names)
 
--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -99,10 +99,14 @@
             (server.host, server.port) for server in vms.servers_by_id.values()
         }
         for server_id, server in list(self._servers_by_id.items()):
-            if server_id in vms.servers_by_id:
-                continue
-            has_announced = server_id in self._vms.leaving
-            if has_announced or (server.host, server.port) in addresses:
+            registered = vms.servers_by_id.get(server_id)
+            if registered is not None:
+                has_ended = registered.born_ms != server.born_ms
+            elif server_id in self._vms.leaving:
+                has_ended = True
+            else:
+                has_ended = (server.host, server.port) in addresses
+            if has_ended:
                 del self._servers_by_id[server_id]
                 self._add(server, now_s)
         self._servers_by_id.update(vms.servers_by_id)
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -133,6 +133,13 @@
         self.received[new_id] = 0
         self.publish()
 
+    def restart_empty(self, server_id):
+        server = self.servers[server_id]
+        self.servers[server_id] = replace(server, born_ms=server.born_ms + 1)
+        self.received[server_id] = 0
+        self.board.servers_by_id.pop(server_id, None)
+        self.publish()
+
     def find_lost_commit(self, unanswered=()):
         """Lose the primary; return whether a choice lacks an acknowledged commit."""
         attempt = self.make_attempt(unanswered)
@@ -183,6 +190,22 @@
     assert not group.open_logs()
 
 
+def test_commit_that_only_a_replica_had_is_not_forgotten_when_it_is_back_empty():
+    group = Group()
+    group.commit("s")
+    group.restart_empty("s")
+    assert group.open_logs() == [ServerLog("s", 1)]
+    group.answer("p")
+    group.answer("r")
+    group.answer("s")
+    group.tick()
+    assert not group.find_lost_commit()
+    group.receive("s")
+    group.answer("s")
+    group.tick()
+    assert not group.open_logs()
+
+
 def test_departure_is_forgotten_within_two_seconds_without_traffic():
     """Load pattern: replicas are released all day; an idle group must not wait."""
     group = Group()
@@ -274,7 +297,8 @@
     for _ in range(40):
         replicas = [name for name in group.servers if name != "p"]
         some = choose.choice(replicas)
-        actions = ["commit", "receive", "reply", "reply", "p", "leave", "crash"]
+        actions = ["commit", "receive", "reply", "reply", "p"]
+        actions += ["leave", "crash", "restart"]
         action = choose.choice(actions)
         if action == "commit":
             group.commit(some)
@@ -286,6 +310,8 @@
             group.answer("p")
         elif action == "crash":
             group.crash(some)
+        elif action == "restart":
+            group.restart_empty(some)
         elif len(replicas) > 1:
             group.leave(some)
         group.tick()
