Reads: departed logs count in the bounds that replicas give

What callers saw: without a primary, a read with an age limit of 1500 ms was answered without a commit that had been acknowledged 3 s and more before.

While a primary is away, all servers but k together bound what was acknowledged; a replica that had gone was no longer counted among all servers, though its log and the primary's may have been the only ones with a commit.

A departed log is now one more that does not report.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -442,6 +442,29 @@
     return all(server_id in servers for servers in known)
 
 
+async def test_read_without_a_primary_is_not_older_than_its_limit_after_a_release(
+    cluster,
+):
+    """Positions of the replicas that are left do not bound what a gone one had."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await cluster.group.servers[0].stop()
+    await asyncio.sleep(1.6)
+    deadline_s = asyncio.get_running_loop().time() + 3.0
+    while asyncio.get_running_loop().time() < deadline_s:
+        reader = await cluster.connect("old-db", 1)
+        answer = await reader.query("READ k")
+        assert answer.error or answer.rows == ("only-on-2",)
+        reader.close()
+        await asyncio.sleep(0.05)
+
+
 @pytest.mark.parametrize("has_traffic", [False, True])
 async def test_promotion_after_a_release_does_not_wait_for_the_released_log(
     cluster, has_traffic
--- a/pollencleat/routing/replica_positions.py
+++ b/pollencleat/routing/replica_positions.py
@@ -11,7 +11,8 @@
 beyond the highest of the positions, whichever server leads and whether or not a
 promotion is in progress.  A server that restarted may have lost its log and does not
 count until it has had time to receive it again; a connection that stays open shows that
-it has not restarted.
+it has not restarted.  Servers that have gone are among all servers as long as their
+logs may have been the only ones with a commit (departed_logs.py).
 
 The requests occupy slots, so they are sent only while reads want a bound and the
 primary gives none.
@@ -127,9 +128,14 @@
         bounds.add(term.term, counted[needed - 1].status_sent_at_s, highest)
 
     def _count_needed(self, group: DatabaseGroup) -> int:
-        """Return how many servers must report; lapsed ones may still hold commits."""
+        """Return how many servers must report.
+
+        Lapsed servers and departed logs may hold commits that no other replica has.
+        """
         lapsed = self._board.vms.lapsed_by_group.get(group.group_id, ())
-        return len({*group.server_ids, *lapsed}) - group.acknowledging_replicas
+        departed = self._board.departed_logs_by_group.get(group.group_id, ())
+        logs = len({*group.server_ids, *lapsed}) + len(departed)
+        return logs - group.acknowledging_replicas
 
     def _counts(self, server_id: str, view: ServerView, now_s: float) -> bool:
         """Return whether a server's log certainly has all that it ever received."""
--- a/pollencleat/routing/replica_positions_test.py
+++ b/pollencleat/routing/replica_positions_test.py
@@ -16,6 +16,7 @@
     Inventory,
     Member,
     Position,
+    ServerLog,
     ServerStatus,
     VmList,
 )
@@ -90,6 +91,17 @@
     assert replicas.bound() is None
 
 
+def test_a_departed_log_may_have_been_the_only_one_with_a_commit():
+    """Reads were answered from replicas that lacked what a gone one had received."""
+    replicas = Replicas()
+    replicas.board.departed_logs_by_group["g"] = {ServerLog("s", 1): NOW_S - 5.0}
+    replicas.report("r", 40, NOW_S)
+    replicas.report("s", 40, NOW_S)
+    assert replicas.bound() is None
+    replicas.report("p", 41, NOW_S)
+    assert replicas.bound() == Position(1, 41)
+
+
 def test_an_open_connection_shows_that_a_server_did_not_restart():
     """Regression (Volta, trouble-3): a pool without an open connection made its server
     count as restarted, and reads were refused for three seconds more."""
