Promotion: members report the departed logs that they know

What callers saw: an acknowledged commit was missing after a change of primary that a process started since the departure of a replica carried out.

Cause: what is known of departed servers lives in the processes that saw them go. A promoter that was started since knew nothing of them.

Evidence, before the change (bench/platform_path_test.py, test_commit_of_a_replica_that_left_is_not_lost_by_a_process_started_since):

> assert not promoted, promoted[0].log E AssertionError: [LogEntry(term=3, number=1, key='warm', ...), LogEntry(term=3, number=2, key='warm', ...)]

Members now report with their confirmation which departed logs of the group may be needed and which are known not to be; the promoter counts what any of them knows and none knows to be covered. The message has two more fields with defaults at its end: messages_test.py decodes it as the older build does, and that build's message as this one.

Not covered: all processes started since the departure.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -442,6 +442,62 @@
     return all(server_id in servers for servers in known)
 
 
+async def test_commit_of_a_replica_that_left_is_not_lost_by_a_process_started_since(
+    cluster,
+):
+    """The promoting process knew of no server that had gone before its start."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await cluster.nodes.pop().abort()
+    restarted = await cluster.add_node(1)
+
+    async def may_promote():
+        board = restarted.board
+        if not board.is_member():
+            return False
+        return board.fleet.members_by_id[board.node_id].may_promote
+
+    await wait_for(may_promote, 12.0)
+    # A node that is about to stop starts no promotion.
+    cluster.nodes[0].board.draining = True
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, 14")
+async def test_commit_of_a_replica_that_left_is_not_lost_if_all_processes_restart(
+    cluster,
+):
+    """No process knew of a server that had gone before all of them started."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await asyncio.gather(*(node.stop() for node in cluster.nodes))
+    cluster.nodes.clear()
+    for number in (0, 1):
+        await cluster.add_node(number)
+
+    async def may_promote():
+        boards = [node.board for node in cluster.nodes]
+        return all(
+            board.is_member() and board.fleet.members_by_id[board.node_id].may_promote
+            for board in boards
+        )
+
+    await wait_for(may_promote, 12.0)
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
 async def test_read_without_a_primary_is_not_older_than_its_limit_after_a_release(
     cluster,
 ):
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -241,6 +241,7 @@
         departed_logs_by_group: Logs of servers that have ended, and when this node
             learned of it.  They may have been the only ones besides the primary's that
             held an acknowledged commit; they are dropped once that is excluded.
+        covered_logs_by_group: The newest departed logs that were dropped.
     """
 
     node_id: str
@@ -282,6 +283,9 @@
     departed_logs_by_group: dict[str, dict[ServerLog, float]] = field(
         default_factory=dict
     )
+    covered_logs_by_group: dict[str, tuple[ServerLog, ...]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         """Create the index of the initial fleet state."""
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -42,7 +42,7 @@
     born_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, order=True, slots=True)
 class ServerLog:
     """The log of one start of a server; it is lost when that process ends for good.
 
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from pollencleat.core.data import Fleet, Inventory, Position, VmList
+from pollencleat.core.data import Fleet, Inventory, Position, ServerLog, VmList
 
 
 class Versions(msgspec.Struct, frozen=True, array_like=True):
@@ -104,12 +104,17 @@
 
     Attributes:
         seen_by_group: For each group, the highest log position known to the sender.
+        departed_logs: Logs of the group in promotion that have gone and may have been
+            the only ones besides the primary's with an acknowledged commit.
+        covered_logs: Logs of that group that have gone and are known not to be needed.
     """
 
     node_id: str
     incarnation: str
     attempt_id: str
     seen_by_group: dict[str, SeenPosition] = {}
+    departed_logs: tuple[ServerLog, ...] = ()
+    covered_logs: tuple[ServerLog, ...] = ()
 
 
 class WritesEnded(msgspec.Struct, frozen=True, array_like=True, tag="writes_ended"):
--- a/pollencleat/core/messages_test.py
+++ b/pollencleat/core/messages_test.py
@@ -5,14 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollencleat.core.data import Fleet, GroupTerm, Member
+from pollencleat.core.data import Fleet, GroupTerm, Member, Position, ServerLog
 from pollencleat.core.messages import (
     COMPRESSED_PREFIX,
     MAX_MESSAGE_BYTES,
     Beat,
     DomainPromise,
+    SeenPosition,
     State,
     Versions,
+    WritesStopped,
     decode_message,
     encode_message,
 )
@@ -86,3 +88,27 @@
 def test_wrong_field_type_is_rejected():
     with pytest.raises(msgspec.ValidationError):
         decode_message(msgspec.msgpack.encode(["beat", 1]))
+
+
+class OlderWritesStopped(
+    msgspec.Struct, frozen=True, array_like=True, tag="writes_stopped"
+):
+    """WritesStopped of a build that reports no departed logs."""
+
+    node_id: str
+    incarnation: str
+    attempt_id: str
+    seen_by_group: dict[str, SeenPosition] = {}
+
+
+def test_confirmations_pass_between_this_build_and_one_without_departed_logs():
+    seen = {"g": SeenPosition(Position(3, 7), 0.5)}
+    older = OlderWritesStopped("n", "n-1", "a/1", seen)
+    newer = WritesStopped("n", "n-1", "a/1", seen, (ServerLog("s", 5),))
+    assert decode_message(encode_message(newer)) == newer
+    assert decode_message(msgspec.msgpack.encode(older)) == WritesStopped(
+        "n", "n-1", "a/1", seen
+    )
+    assert msgspec.msgpack.decode(encode_message(newer), type=OlderWritesStopped) == (
+        older
+    )
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -203,6 +203,7 @@
         """
         board = self.board
         board.adopt_fleet(message.fleet, now_s)
+        group_id = find_promoted_group(message)
         board.send(
             message.node_id,
             WritesStopped(
@@ -210,6 +211,8 @@
                 board.incarnation,
                 message.attempt_id,
                 board.seen_positions(now_s),
+                tuple(board.departed_logs_by_group.get(group_id, ())),
+                board.covered_logs_by_group.get(group_id, ()),
             ),
         )
 
@@ -296,6 +299,20 @@
         )
 
 
+def find_promoted_group(message: StopWrites) -> str:
+    """Return the group whose promotion a message announces; empty if there is none.
+
+    Args:
+        message: The message, with the fleet state that its promotion began with or a
+            later one.
+    """
+    for group_id, term in message.fleet.terms_by_group.items():
+        promotion = term.promotion
+        if promotion is not None and promotion.attempt_id == message.attempt_id:
+            return group_id
+    return ""
+
+
 def is_newer(versions: Versions, than: Versions) -> bool:
     """Return whether any of the platform's objects is newer.
 
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -29,6 +29,7 @@
     GroupTerm,
     Position,
     Promotion,
+    ServerLog,
     ServerStatus,
     TermStart,
 )
@@ -80,6 +81,9 @@
         statuses_by_server: Answers in the current query round; None for a failure.
         seen_by_incarnation: Highest log position that each node had received from the
             group's primary when it stopped writing, by incarnation.
+        reported_departed_logs: Departed logs that other members know and that may be
+            needed.
+        reported_covered_logs: Departed logs that other members know not to be needed.
         last_crash_at_s: When this node last learned of the removal of a member that had
             not resigned; such a member may have acknowledged commits until then.
         known_position_by_server: Log positions known when the attempt began.
@@ -108,6 +112,8 @@
     age_reference_s: float = 0.0
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
     seen_by_incarnation: dict[str, SeenPosition | None] = field(default_factory=dict)
+    reported_departed_logs: set[ServerLog] = field(default_factory=set)
+    reported_covered_logs: set[ServerLog] = field(default_factory=set)
     last_crash_at_s: float = -1e9
     known_position_by_server: dict[str, int] = field(default_factory=dict)
     is_promote_pending: bool = False
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -1,7 +1,7 @@
 """Logs of a group that no registered server has, and whether they may be needed."""
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import DatabaseGroup
+from pollencleat.core.data import DatabaseGroup, ServerLog
 from pollencleat.promotion.attempt import (
     Attempt,
     has_lost_log,
@@ -17,22 +17,46 @@
         attempt: The attempt.
 
     Returns:
-        Ids of lapsed servers, and names of the departed logs that count still.  The
+        Ids of lapsed servers, and names of the departed logs that count still: those
+        that this node or another member knows and none knows not to be needed.  The
         logs that the old primary kept before its term are not among them: it was
         chosen with every commit that they can have acknowledged.  Neither are those
         of servers whose answers in this attempt show that they have lost their logs.
     """
-    lapsed = board.vms.lapsed_by_group.get(attempt.group_id, ())
-    departed = board.departed_logs_by_group.get(attempt.group_id, ())
-    old_primary = attempt.promotion.old_primary
-    names = [
-        f"{log.server_id}@{log.born_ms}"
-        for log in departed
-        if log.server_id != old_primary and not has_lost_log(attempt, log.server_id)
-    ]
+    group_id = attempt.group_id
+    lapsed = board.vms.lapsed_by_group.get(group_id, ())
+    known = set(board.departed_logs_by_group.get(group_id, ()))
+    covered = attempt.reported_covered_logs.union(
+        board.covered_logs_by_group.get(group_id, ())
+    )
+    names = []
+    for log in sorted(known | attempt.reported_departed_logs):
+        if log in covered or log.server_id == attempt.promotion.old_primary:
+            continue
+        if has_lost_log(attempt, log.server_id):
+            continue
+        if log not in known and is_accounted_for(board, log, lapsed):
+            continue
+        names.append(f"{log.server_id}@{log.born_ms}")
     return (*lapsed, *names)
 
 
+def is_accounted_for(
+    board: Blackboard, log: ServerLog, lapsed: tuple[str, ...]
+) -> bool:
+    """Return whether a log is that of a server that is known as registered or lapsed.
+
+    Args:
+        board: The node's state.
+        log: A log that another member takes for departed.
+        lapsed: Ids of the group's lapsed servers.
+    """
+    registered = board.vms.servers_by_id.get(log.server_id)
+    if registered is not None:
+        return registered.born_ms == log.born_ms
+    return log.server_id in lapsed
+
+
 def can_waiting_help(board: Blackboard, attempt: Attempt, group: DatabaseGroup) -> bool:
     """Return whether a missing log, or the proof that it is not needed, may still come.
 
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -195,6 +195,8 @@
             attempt.seen_by_incarnation[message.incarnation] = (
                 message.seen_by_group.get(attempt.group_id)
             )
+            attempt.reported_departed_logs.update(message.departed_logs)
+            attempt.reported_covered_logs.update(message.covered_logs)
         self.advance(now_s)
 
     def on_fenced(self, result: ServerFenced) -> None:
--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -42,6 +42,9 @@
 MAX_PROBE_INTERVAL_S = 4.0
 """Largest interval in seconds, to which it doubles while a replica lags."""
 
+MAX_OLDER_COVERED = 31
+"""Covered logs remembered per group in addition to the newest."""
+
 log = structlog.get_logger()
 
 
@@ -85,14 +88,7 @@
                 continue
             for departed, since_s in list(logs.items()):
                 if self._is_covered(group, departed, since_s, now_s):
-                    del logs[departed]
-                    self._schedules_by_log.pop(departed, None)
-                    log.info(
-                        "departed log covered",
-                        group=group_id,
-                        server=departed.server_id,
-                        after_ms=round((now_s - since_s) * 1000),
-                    )
+                    self._drop(group_id, departed, now_s - since_s)
 
     def _note_departures(self, vms: VmList, now_s: float) -> None:
         addresses = {
@@ -124,6 +120,22 @@
             born_ms=server.born_ms,
         )
 
+    def _drop(self, group_id: str, departed: ServerLog, after_s: float) -> None:
+        board = self._board
+        del board.departed_logs_by_group[group_id][departed]
+        del self._schedules_by_log[departed]
+        covered = board.covered_logs_by_group.get(group_id, ())
+        board.covered_logs_by_group[group_id] = (
+            *covered[-MAX_OLDER_COVERED:],
+            departed,
+        )
+        log.info(
+            "departed log covered",
+            group=group_id,
+            server=departed.server_id,
+            after_ms=round(after_s * 1000),
+        )
+
     def _is_covered(
         self, group: DatabaseGroup, departed: ServerLog, since_s: float, now_s: float
     ) -> bool:
@@ -157,11 +169,14 @@
         schedule = self._schedules_by_log[departed]
         if now_s < schedule.next_at_s:
             return
+        probed = [server_id for server_id in server_ids if self._may_probe(server_id)]
+        if not probed:
+            # This node may become the one that asks for its failure domain.
+            return
         schedule.next_at_s = now_s + schedule.interval_s
         schedule.interval_s = min(MAX_PROBE_INTERVAL_S, 2 * schedule.interval_s)
-        for server_id in server_ids:
-            if self._may_probe(server_id):
-                self._request_probe(server_id)
+        for server_id in probed:
+            self._request_probe(server_id)
 
     def _may_probe(self, server_id: str) -> bool:
         """Return whether this node probes a server for its failure domain."""
