Membership: a peer's list of servers does not make a lapsed server forgotten

What callers could see: a promotion that did not wait for a replica that had lapsed, and so the loss of a commit that only that replica had received besides the primary.

Cause: lists of servers also come from peers, in whose lists servers that lapsed before the peer's start are missing. If such a list arrived first, this process's own list of the same revision was not published, so that what it knew of lapsed servers was hidden until the list changed again.

Evidence, before the change:

> assert lapsed_of(board) == ("old",) E AssertionError: assert () == ('old',) FAILED pollencleat/membership/directory_test.py::test_list_of_a_peer_does_ not_make_a_lapsed_server_forgotten

Own knowledge is now added to a list of the same revision. What remains is the time until this process has read that revision itself, about a second.

The departed logs follow the list in the same way: a server that is neither registered nor lapsed has ended, whether it announced that or its address is used again, and a log whose server is registered again is no longer departed.

--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import structlog
 
@@ -174,6 +175,12 @@
         Args:
             revision: Unused; the revision of the newest change is published.
         """
+        lapsed_by_group = {
+            group_id: tuple(server.server_id for server in lapsed)
+            for group_id, lapsed in self._lapsed_by_group.items()
+        }
+        if self._changed_revision == self._board.vms.version:
+            self._add_lapsed(lapsed_by_group)
         if self._changed_revision <= self._board.vms.version:
             return
         self._board.adopt_vms(
@@ -182,9 +189,20 @@
                 None,
                 tuple(sorted(self._leaving)),
                 dict(self._servers_by_id),
-                {
-                    group_id: tuple(server.server_id for server in lapsed)
-                    for group_id, lapsed in self._lapsed_by_group.items()
-                },
+                lapsed_by_group,
             )
         )
+
+    def _add_lapsed(self, lapsed_by_group: dict[str, tuple[str, ...]]) -> None:
+        """Add known lapsed servers to a published list of the same revision.
+
+        It came from a peer that may have been started since they lapsed.
+        """
+        vms = self._board.vms
+        merged = dict(vms.lapsed_by_group)
+        for group_id, lapsed in lapsed_by_group.items():
+            merged[group_id] = tuple(
+                dict.fromkeys((*merged.get(group_id, ()), *lapsed))
+            )
+        if merged != vms.lapsed_by_group:
+            self._board.vms = replace(vms, lapsed_by_group=merged)
--- a/pollencleat/membership/directory_test.py
+++ b/pollencleat/membership/directory_test.py
@@ -2,7 +2,7 @@
 from dataclasses import replace
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import BackendServer
+from pollencleat.core.data import BackendServer, VmList
 from pollencleat.membership.directory import REREGISTRATION_GRACE_S, ServerDirectory
 
 SERVER = BackendServer("old", "g", "10.0.0.1", 8001, "a", 4, 20)
@@ -67,3 +67,24 @@
     clock["now"] += 0.2
     directory.record_call_result(True)
     assert "old" not in board.vms.servers_by_id
+
+
+def test_list_of_a_peer_does_not_make_a_lapsed_server_forgotten():
+    """A process started since the server lapsed sent its list of the same revision."""
+    board, directory, _ = make_directory([SERVER])
+    other = replace(SERVER, server_id="other", port=8002)
+    directory.remove("old", 2)
+    directory.publish(2)
+    board.adopt_vms(VmList(3, None, (), {"other": other}))
+    assert lapsed_of(board) == ()
+    directory.update(other, False, 3)
+    directory.publish(3)
+    assert lapsed_of(board) == ("old",)
+    assert set(board.vms.servers_by_id) == {"other"}
+
+
+def test_lapsed_server_that_only_a_peer_knows_is_kept_until_the_list_changes():
+    board, directory, _ = make_directory([SERVER])
+    board.adopt_vms(VmList(2, None, (), {"old": SERVER}, {"g": ("gone",)}))
+    directory.publish(2)
+    assert lapsed_of(board) == ("gone",)
--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -69,7 +69,7 @@
         self._board = board
         self._request_probe = request_probe
         self._vms = VmList()
-        # Servers that are registered, or that may come back with their logs.
+        # Servers that are registered, or lapsed: these may come back with their logs.
         self._servers_by_id: dict[str, BackendServer] = {}
         self._schedules_by_log: dict[ServerLog, ProbeSchedule] = {}
 
@@ -91,20 +91,20 @@
                     self._drop(group_id, departed, now_s - since_s)
 
     def _note_departures(self, vms: VmList, now_s: float) -> None:
-        addresses = {
-            (server.host, server.port) for server in vms.servers_by_id.values()
-        }
         for server_id, server in list(self._servers_by_id.items()):
             registered = vms.servers_by_id.get(server_id)
             if registered is not None:
                 has_ended = registered.born_ms != server.born_ms
-            elif server_id in self._vms.leaving:
-                has_ended = True
             else:
-                has_ended = (server.host, server.port) in addresses
+                lapsed = vms.lapsed_by_group.get(server.group_id, ())
+                has_ended = server_id not in lapsed
             if has_ended:
                 del self._servers_by_id[server_id]
                 self._add(server, now_s)
+        for server in vms.servers_by_id.values():
+            # Its entry was missing for a while.
+            logs = self._board.departed_logs_by_group.get(server.group_id, {})
+            logs.pop(ServerLog(server.server_id, server.born_ms), None)
         self._servers_by_id.update(vms.servers_by_id)
         self._vms = vms
 
@@ -123,7 +123,7 @@
     def _drop(self, group_id: str, departed: ServerLog, after_s: float) -> None:
         board = self._board
         del board.departed_logs_by_group[group_id][departed]
-        del self._schedules_by_log[departed]
+        self._schedules_by_log.pop(departed, None)
         covered = board.covered_logs_by_group.get(group_id, ())
         board.covered_logs_by_group[group_id] = (
             *covered[-MAX_OLDER_COVERED:],
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -71,13 +71,14 @@
         self.lost_received = []
         self.publish()
 
-    def publish(self):
+    def publish(self, lapsed=()):
         self.board.adopt_vms(
             VmList(
                 self.board.vms.version + 1,
                 None,
                 tuple(sorted(self.leaving)),
                 dict(self.servers),
+                {"g": tuple(lapsed)},
             )
         )
         self.tick()
@@ -206,6 +207,22 @@
     assert not group.open_logs()
 
 
+def test_log_of_a_lapsed_server_has_not_departed_and_is_there_when_it_is_back():
+    group = Group()
+    server = group.servers.pop("s")
+    group.publish(lapsed=["s"])
+    assert not group.open_logs()
+    group.servers["s"] = server
+    group.publish()
+    assert not group.open_logs()
+    del group.servers["s"]
+    group.publish()
+    assert group.open_logs() == [ServerLog("s", 1)]
+    group.servers["s"] = server
+    group.publish()
+    assert not group.open_logs()
+
+
 def test_departure_is_forgotten_within_two_seconds_without_traffic():
     """Load pattern: replicas are released all day; an idle group must not wait."""
     group = Group()
