--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -12,6 +12,7 @@
 from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
 from pollencleat.tools.main import main
+from standins.line_server import LineServer
 
 
 @pytest.fixture
@@ -415,6 +416,196 @@
     assert (await reader.query("READ k")).rows == ("only-on-2",)
 
 
+async def _are_gone(cluster, *server_ids):
+    known = [node.board.inventory.servers_by_id for node in cluster.nodes]
+    return not any(
+        server_id in servers for servers in known for server_id in server_ids
+    )
+
+
+async def _crash_primary_and_expect_no_loss(cluster):
+    """Crash books-0, the only server with the commit, and let it come back."""
+    primary = cluster.group.servers[0]
+    await primary.stop()
+    await asyncio.sleep(4.0)
+    promoted = [server for server in cluster.group.servers[1:] if server.is_primary]
+    assert not promoted, promoted[0].log
+    await primary.restart()
+    cluster.group.unreachable_replica_ids.clear()
+    await wait_for(lambda: cluster.try_write(1), 15.0)
+    reader = await cluster.connect("main-db", 1)
+    assert (await reader.query("READ k")).rows == ("only-on-2",)
+
+
+async def test_commit_that_only_a_replica_that_left_had_received_is_not_lost(cluster):
+    """The log of a replica that had announced that it leaves was forgotten."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+async def test_commit_of_a_crashed_replica_whose_address_is_used_again_is_not_lost(
+    cluster,
+):
+    """An empty server at its address made the crashed one count as not needed."""
+    cluster.group.unreachable_replica_ids |= {"books-1", "books-3"}
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    crashed = cluster.group.by_id("books-2")
+    await crashed.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    successor = LineServer(cluster.group, "books-3", crashed.zone)
+    successor.port = crashed.port
+    await successor.start()
+    cluster.group.servers.append(successor)
+    await wait_for(lambda: _are_known(cluster, "books-3"))
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+@pytest.mark.parametrize("is_noticed", [True, False])
+async def test_commit_of_a_replica_that_came_back_empty_is_not_lost(
+    cluster, is_noticed
+):
+    """A replica that answers without its former log counted as one that has it."""
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    cluster.group.unreachable_replica_ids.add("books-2")
+    restarted = cluster.group.by_id("books-2")
+    await restarted.restart_empty()
+
+    async def is_known():
+        known = [node.board.vms.servers_by_id["books-2"] for node in cluster.nodes]
+        return all(server.born_ms == restarted.born for server in known)
+
+    if is_noticed:
+        await wait_for(is_known)
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+async def _are_known(cluster, server_id):
+    known = [node.board.inventory.servers_by_id for node in cluster.nodes]
+    return all(server_id in servers for servers in known)
+
+
+async def test_commit_of_a_replica_that_left_is_not_lost_by_a_process_started_since(
+    cluster,
+):
+    """The promoting process knew of no server that had gone before its start."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await cluster.nodes.pop().abort()
+    restarted = await cluster.add_node(1)
+
+    async def may_promote():
+        board = restarted.board
+        if not board.is_member():
+            return False
+        return board.fleet.members_by_id[board.node_id].may_promote
+
+    await wait_for(may_promote, 12.0)
+    # A node that is about to stop starts no promotion.
+    cluster.nodes[0].board.draining = True
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, 14")
+async def test_commit_of_a_replica_that_left_is_not_lost_if_all_processes_restart(
+    cluster,
+):
+    """No process knew of a server that had gone before all of them started."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await asyncio.gather(*(node.stop() for node in cluster.nodes))
+    cluster.nodes.clear()
+    for number in (0, 1):
+        await cluster.add_node(number)
+
+    async def may_promote():
+        boards = [node.board for node in cluster.nodes]
+        return all(
+            board.is_member() and board.fleet.members_by_id[board.node_id].may_promote
+            for board in boards
+        )
+
+    await wait_for(may_promote, 12.0)
+    await _crash_primary_and_expect_no_loss(cluster)
+
+
+async def test_read_without_a_primary_is_not_older_than_its_limit_after_a_release(
+    cluster,
+):
+    """Positions of the replicas that are left do not bound what a gone one had."""
+    leaving = cluster.group.by_id("books-2")
+    leaving.draining = True
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    await asyncio.sleep(1.5)
+    assert not (await client.query("WRITE k only-on-2")).error
+    await leaving.stop()
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await cluster.group.servers[0].stop()
+    await asyncio.sleep(1.6)
+    deadline_s = asyncio.get_running_loop().time() + 3.0
+    while asyncio.get_running_loop().time() < deadline_s:
+        reader = await cluster.connect("old-db", 1)
+        answer = await reader.query("READ k")
+        assert answer.error or answer.rows == ("only-on-2",)
+        reader.close()
+        await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("has_traffic", [False, True])
+async def test_promotion_after_a_release_does_not_wait_for_the_released_log(
+    cluster, has_traffic
+):
+    """Load pattern: replicas are released all day, and a primary crashes later."""
+    client = await cluster.connect("main-db", 1)
+    reader = await cluster.connect("old-db", 1)
+    released = cluster.group.by_id("books-2")
+    released.draining = True
+    await asyncio.sleep(1.2)
+    await released.stop()
+    status_calls = sum(server.status_calls for server in cluster.group.servers)
+    await wait_for(lambda: _are_gone(cluster, "books-2"))
+    await asyncio.sleep(0.2)
+
+    async def is_forgotten():
+        if has_traffic:
+            assert not (await client.query("WRITE k v")).error
+            assert not (await reader.query("READ k")).error
+        boards = [node.board for node in cluster.nodes]
+        return not any(board.departed_logs_by_group.get("books") for board in boards)
+
+    await wait_for(is_forgotten, 2.0)
+    calls_after = sum(server.status_calls for server in cluster.group.servers)
+    assert calls_after - status_calls <= 8
+    await cluster.group.servers[0].stop()
+
+    async def is_promoted():
+        return cluster.group.by_id("books-1").is_primary
+
+    await wait_for(is_promoted, 5.0)
+
+
 async def test_draining_primary_is_replaced_before_it_stops(cluster):
     cluster.group.servers[0].draining = True
 
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -17,7 +17,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.blackboard import Blackboard, ServerView
 from pollencleat.core.bounds import is_before, log_end_of
 from pollencleat.core.constants import (
     MAX_CLOCK_DRIFT,
@@ -29,6 +29,7 @@
     GroupTerm,
     Position,
     Promotion,
+    ServerLog,
     ServerStatus,
     TermStart,
 )
@@ -81,6 +82,9 @@
         statuses_by_server: Answers in the current query round; None for a failure.
         seen_by_incarnation: Highest log position that each node had received from the
             group's primary when it stopped writing, by incarnation.
+        reported_departed_logs: Departed logs that other members know and that may be
+            needed.
+        reported_covered_logs: Departed logs that other members know not to be needed.
         last_crash_at_s: When this node last learned of the removal of a member that had
             not resigned; such a member may have acknowledged commits until then.
         known_position_by_server: Log positions known when the attempt began.
@@ -111,6 +115,8 @@
     age_reference_s: float = 0.0
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
     seen_by_incarnation: dict[str, SeenPosition | None] = field(default_factory=dict)
+    reported_departed_logs: set[ServerLog] = field(default_factory=set)
+    reported_covered_logs: set[ServerLog] = field(default_factory=set)
     last_crash_at_s: float = -1e9
     known_position_by_server: dict[str, int] = field(default_factory=dict)
     is_promote_pending: bool = False
@@ -164,14 +170,23 @@
         },
         last_crash_at_s=board.last_crash_at_s(),
         known_position_by_server={
-            server_id: view.status.received_position
+            server_id: find_known_position(view)
             for server_id, view in board.servers_by_id.items()
-            if view.status is not None
         },
         history=term.history,
     )
 
 
+def find_known_position(view: ServerView) -> int:
+    """Return the highest log position, of any term, in a server's latest reports."""
+    reported = [0]
+    if view.status is not None:
+        reported.append(view.status.received_position)
+    if view.applied is not None:
+        reported.append(view.applied.position)
+    return max(reported)
+
+
 def can_keep_old_primary(attempt: Attempt) -> bool:
     """Return whether the old primary may be kept if it answers again.
 
@@ -362,12 +377,15 @@
 
     Args:
         attempt: The attempt, with the answers of the current round.
-        server_id: A server that answered.
+        server_id: A server.
 
     Returns:
-        True if its log is empty now and was not empty when the attempt began.
+        True if its log is empty now and was not empty when the attempt began; False if
+        it has not answered.
     """
-    status = attempt.statuses_by_server[server_id]
+    status = attempt.statuses_by_server.get(server_id)
+    if status is None:
+        return False
     if not status.read_only and status.term >= attempt.log_term:
         # This attempt has already promoted the server, and the answer was lost.
         return False
@@ -386,8 +404,8 @@
     What the old primary began its term with was acknowledged under older terms, and
     may be in its log alone, so the chosen server must have received that.  A later
     commit that k replicas must acknowledge is on at least one held replica unless k or
-    more replicas did not answer; the chosen server is the most advanced of those that
-    answered.  If too many did not answer, the chosen server's log must reach the
+    more replicas did not answer or have lost their logs; the chosen server is the most
+    advanced of those that answered.  Otherwise, the chosen server's log must reach the
     final position of the old primary, or the highest position that any node has
     received from it: every acknowledgement passed through one of the nodes.
 
@@ -409,7 +427,10 @@
         replica_id
         for replica_id in (*group.server_ids, *unregistered)
         if attempt.statuses_by_server.get(replica_id) is None
+        or has_lost_log(attempt, replica_id)
     }
+    if attempt.statuses_by_server.get(old_primary) is None:
+        unanswered.add(old_primary)
     if unanswered and not has_start_of_replaced_term(attempt, server_id):
         return False
     unanswered.discard(old_primary)
--- /dev/null
+++ b/pollencleat/promotion/missing_logs.py
@@ -0,0 +1,89 @@
+"""Logs of a group that no registered server has, and whether they may be needed."""
+
+from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.data import DatabaseGroup, ServerLog
+from pollencleat.promotion.attempt import (
+    Attempt,
+    has_lost_log,
+    is_final_position_reliable,
+)
+
+
+def find_missing_logs(board: Blackboard, attempt: Attempt) -> tuple[str, ...]:
+    """Return logs that cannot be asked and may have acknowledged commits.
+
+    Args:
+        board: The node's state.
+        attempt: The attempt.
+
+    Returns:
+        Ids of lapsed servers, and names of the departed logs that count still: those
+        that this node or another member knows and none knows not to be needed.  The
+        logs that the old primary kept before its term are not among them: it was
+        chosen with every commit that they can have acknowledged.  Neither are those
+        of servers whose answers in this attempt show that they have lost their logs.
+    """
+    group_id = attempt.group_id
+    lapsed = board.vms.lapsed_by_group.get(group_id, ())
+    known = set(board.departed_logs_by_group.get(group_id, ()))
+    covered = attempt.reported_covered_logs.union(
+        board.covered_logs_by_group.get(group_id, ())
+    )
+    names = []
+    for log in sorted(known | attempt.reported_departed_logs):
+        if log in covered or log.server_id == attempt.promotion.old_primary:
+            continue
+        if has_lost_log(attempt, log.server_id):
+            continue
+        if log not in known and is_accounted_for(board, log, lapsed):
+            continue
+        names.append(f"{log.server_id}@{log.born_ms}")
+    return (*lapsed, *names)
+
+
+def is_accounted_for(
+    board: Blackboard, log: ServerLog, lapsed: tuple[str, ...]
+) -> bool:
+    """Return whether a log is that of a server that is known as registered or lapsed.
+
+    Args:
+        board: The node's state.
+        log: A log that another member takes for departed.
+        lapsed: Ids of the group's lapsed servers.
+    """
+    registered = board.vms.servers_by_id.get(log.server_id)
+    if registered is not None:
+        return registered.born_ms == log.born_ms
+    return log.server_id in lapsed
+
+
+def can_waiting_help(board: Blackboard, attempt: Attempt, group: DatabaseGroup) -> bool:
+    """Return whether a missing log, or the proof that it is not needed, may still come.
+
+    Args:
+        board: The node's state.
+        attempt: The attempt, with the answers of the current round.
+        group: The group.
+
+    Returns:
+        False if all servers that may have a log have answered, the log of the old
+        primary is gone, and every possible writer has reported or is gone: the commits
+        that are missing now cannot come back.
+    """
+    if attempt.unconfirmed_incarnations:
+        return True
+    if board.vms.lapsed_by_group.get(attempt.group_id):
+        return True
+    old_primary = attempt.promotion.old_primary
+    for server_id in group.server_ids:
+        if server_id == old_primary:
+            continue
+        if attempt.statuses_by_server.get(server_id) is None:
+            return True
+    old_status = attempt.old_primary_status
+    if old_status is None:
+        old_status = attempt.statuses_by_server.get(old_primary)
+    if old_status is not None:
+        return is_final_position_reliable(attempt, old_status)
+    departed = board.departed_logs_by_group.get(attempt.group_id, ())
+    return all(log.server_id != old_primary for log in departed)
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -46,6 +46,7 @@
     is_caught_up,
     is_current_promoter,
 )
+from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
 
 PUBLISH_PURPOSE = "promotion publish"
 
@@ -196,6 +197,8 @@
             attempt.seen_by_incarnation[message.incarnation] = (
                 message.seen_by_group.get(attempt.group_id)
             )
+            attempt.reported_departed_logs.update(message.departed_logs)
+            attempt.reported_covered_logs.update(message.covered_logs)
         self.advance(now_s)
 
     def on_fenced(self, result: ServerFenced) -> None:
@@ -300,31 +303,41 @@
             leaving = (*leaving, attempt.promotion.old_primary)
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
-            self._log_choice(attempt, "", "no server qualifies")
-            return
-        unregistered = self.board.vms.lapsed_by_group.get(attempt.group_id, ())
-        if not has_every_acknowledged_commit(attempt, group, chosen, unregistered):
-            self._log_choice(attempt, chosen, "may lack acknowledged commits")
+            self._log_choice(attempt, "", "no server qualifies", ())
             return
+        missing_logs = find_missing_logs(self.board, attempt)
+        if not has_every_acknowledged_commit(attempt, group, chosen, missing_logs):
+            if can_waiting_help(self.board, attempt, group):
+                reason = "may lack acknowledged commits"
+                self._log_choice(attempt, chosen, reason, missing_logs)
+                return
+            log.warning("commits may be lost", group=attempt.group_id, server=chosen)
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
-            self._log_choice(attempt, chosen, "applies its log")
+            self._log_choice(attempt, chosen, "applies its log", missing_logs)
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
             return
         attempt.chosen_server_id = chosen
         attempt.chosen_log_end = log_end_of(attempt.statuses_by_server[chosen])
-        self._log_choice(attempt, chosen, "")
+        self._log_choice(attempt, chosen, "", missing_logs)
         self._broadcast_writes_ended(attempt)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
-    def _log_choice(self, attempt: Attempt, chosen: str, waits_because: str) -> None:
+    def _log_choice(
+        self,
+        attempt: Attempt,
+        chosen: str,
+        waits_because: str,
+        missing_logs: tuple[str, ...],
+    ) -> None:
         """Log the logs that were compared, once for each outcome of the choice.
 
         Args:
             attempt: The attempt.
             chosen: The most advanced server, or empty.
             waits_because: Why the server is not promoted yet; empty if it is.
+            missing_logs: Logs that cannot be asked and may be needed.
         """
         if attempt.logged_choice == (chosen, waits_because):
             return
@@ -350,7 +363,7 @@
                 for server_id in attempt.statuses_by_server
                 if server_id in vms.leaving
             ],
-            unregistered=list(vms.lapsed_by_group.get(attempt.group_id, ())),
+            unregistered=list(missing_logs),
         )
 
     def _broadcast_writes_ended(self, attempt: Attempt) -> None:
