Planned stop: log each session that the process ends, and what a stop did

A request that ended without an answer around a planned stop could not be traced: the process logged draining and stopped only. No change of logic.

--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -270,7 +270,8 @@
     async def stop(self) -> None:
         """Drain, resign and close within the grace period."""
         started_at_s = read_boottime_s()
-        log.info("draining", node=self.settings.node_id)
+        sessions_at_start = len(self.listener.connections)
+        log.info("draining", node=self.settings.node_id, sessions=sessions_at_start)
         self.board.draining = True
         deadline_s = started_at_s + self.settings.grace_s - STOP_RESERVE_S
         await asyncio.sleep(OUT_OF_ROTATION_AFTER_S)
@@ -288,7 +289,15 @@
         await self.orders.close()
         await self.client.close()
         self.metrics.close()
-        log.info("stopped", node=self.settings.node_id, clean=is_clean)
+        report = self.listener.report_stop()
+        report.sessions_at_start = sessions_at_start
+        log.info(
+            "stopped",
+            node=self.settings.node_id,
+            clean=is_clean,
+            ms=round((read_boottime_s() - started_at_s) * 1000),
+            **report.fields(),
+        )
         self._output.flush()
 
     async def abort(self) -> None:
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -4,9 +4,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import structlog
+
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.sockets import configure_socket
 from pollencleat.engine.access import ServerAccess
+from pollencleat.engine.endings import (
+    EndReason,
+    SessionEnd,
+    StopReport,
+    record_end,
+)
 
 LISTEN_BACKLOG = 1024
 """Connections that may wait to be accepted; many callers reconnect at once after an
@@ -16,16 +24,25 @@
 """Interval at which the sessions are checked while the process drains."""
 
 
+log = structlog.get_logger()
+
+
 class SessionConnection(Protocol):
     """A caller's connection, implemented by a protocol codec.
 
     Attributes:
+        end: How this process ended the session; None while it has not.
+        request_id: The request at work, or the last one; empty before the first.
+        unsent_bytes: Bytes of answers that are not sent yet.
         opened_at_s: Local time in seconds at which the connection was accepted.
         is_busy: Whether a request or a transaction is open.
         is_idle: Whether the connection has been idle long enough that no request can
             be in transit.
     """
 
+    end: SessionEnd | None
+    request_id: str
+    unsent_bytes: int
     opened_at_s: float
     is_busy: bool
     is_idle: bool
@@ -43,8 +60,12 @@
     def finish(self) -> None:
         """Close the connection after the next answer sent outside a transaction."""
 
-    def close(self) -> None:
-        """Close the connection after answering a request that was already read."""
+    def close(self, reason: EndReason) -> None:
+        """Close the connection after answering a request that was already read.
+
+        Args:
+            reason: Why the session is ended.
+        """
 
     def abort(self) -> None:
         """Close the connection at once, without answering an open request."""
@@ -56,6 +77,7 @@
     Attributes:
         connections: Open connections.
         port: Port that the listener is bound to; 0 before the start.
+        stop_report: What the drain did to the sessions.
     """
 
     def __init__(
@@ -83,6 +105,7 @@
         self._server: asyncio.Server | None = None
         self.connections: set[SessionConnection] = set()
         self.port = 0
+        self.stop_report = StopReport()
 
     async def start(self, host: str, port: int) -> None:
         """Bind and listen; sets the `port` attribute.
@@ -114,11 +137,21 @@
         except (OSError, TimeoutError) as error:
             self._access.metrics.count("connection_broken", type(error).__name__)
         except Exception as error:
+            log.error("session failed", request=connection.request_id)
             self._faults.record("session", error)
         finally:
-            self.connections.discard(connection)
+            if connection in self.connections:
+                self.connections.discard(connection)
+                self._record_end(connection)
             writer.close()
 
+    def _record_end(self, connection: SessionConnection) -> None:
+        if connection.end is None:
+            return
+        record_end(self._access.metrics, connection.end)
+        self.stop_report.add(connection.end)
+        self.stop_report.unsent_bytes += connection.unsent_bytes
+
     async def abort(self) -> None:
         """Stop listening and abort every connection, as if the process had died."""
         if self._server is not None:
@@ -148,7 +181,7 @@
             if closed == count:
                 break
             if connection.is_idle and connection.opened_at_s < opened_before_s:
-                connection.close()
+                connection.close(EndReason.UNREADY)
                 closed += 1
         return closed
 
@@ -164,16 +197,26 @@
         Returns:
             True if no open request or transaction was interrupted.
         """
+        report = self.stop_report = StopReport()
+        report.sessions_at_close = len(self.connections)
         if self._server is not None:
             self._server.close()
+        log.info("listening ended", sessions=report.sessions_at_close)
         deadline_s = self._access.clock() + limit_s
         while self.connections and self._access.clock() < deadline_s:
             for connection in list(self.connections):
                 connection.finish()
                 if connection.is_idle:
-                    connection.close()
+                    connection.close(EndReason.STOPPING)
             await asyncio.sleep(DRAIN_POLL_S)
         is_clean = not any(item.is_busy for item in self.connections)
         for connection in list(self.connections):
-            connection.close()
+            connection.close(EndReason.LIMIT)
         return is_clean
+
+    def report_stop(self) -> StopReport:
+        """Return what the drain did, sessions that are still open included."""
+        for connection in list(self.connections):
+            self.connections.discard(connection)
+            self._record_end(connection)
+        return self.stop_report
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -12,6 +12,7 @@
 )
 from pollencleat.core.sockets import write_bytes
 from pollencleat.engine.access import ServerAccess
+from pollencleat.engine.endings import EndReason, SessionActivity, SessionEnd
 from pollencleat.engine.executor import SessionExecutor
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import Answer
@@ -61,6 +62,8 @@
         self._is_finishing = False
         self._is_closing = False
         self.executor: SessionExecutor | None = None
+        self.end: SessionEnd | None = None
+        self.request_id = ""
 
     async def serve(self) -> None:
         """Serve until the caller leaves or the connection is closed."""
@@ -119,7 +122,9 @@
         self._last_used_s = self._access.clock()
         async with self._lock:
             try:
-                answer = await self.executor.execute(parse_statement(line))
+                statement = parse_statement(line)
+                self.request_id = statement.request_id
+                answer = await self.executor.execute(statement)
             except LineTooLongError:
                 raise
             except CallerError as error:
@@ -129,6 +134,7 @@
         self._last_used_s = self._access.clock()
         await self._writer.drain()
         if self._is_finishing and not self.executor.is_in_transaction:
+            self._note_end(EndReason.STOPPING, SessionActivity.ANSWERED)
             return False
         return not self._writer.is_closing()
 
@@ -179,16 +185,45 @@
         """Close the connection after the next answer outside a transaction."""
         self._is_finishing = True
 
-    def close(self) -> None:
+    def close(self, reason: EndReason) -> None:
         """Close the connection; a request that was read already is answered first."""
         transport = self._writer.transport
         if self._is_closing or transport.is_closing():
             return
         self._is_closing = True
+        self._note_end(reason, self._activity())
         # The reader accepts no data after feed_eof.
         transport.pause_reading()
         self._reader.feed_eof()
 
+    def _activity(self) -> SessionActivity:
+        if self.executor is None:
+            return SessionActivity.STARTING
+        if self._lock.locked():
+            return SessionActivity.REQUEST
+        if self.executor.is_in_transaction:
+            return SessionActivity.TRANSACTION
+        return SessionActivity.IDLE
+
+    def _note_end(self, reason: EndReason, activity: SessionActivity) -> None:
+        if self.end is not None:
+            return
+        idle_s = self._access.clock() - self._last_used_s
+        self.end = SessionEnd(
+            reason,
+            activity,
+            round(idle_s * 1000),
+            # StreamReader has no public count of what it has buffered.
+            len(self._reader._buffer),
+            self.executor.session.database if self.executor is not None else "",
+            self.request_id,
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that are not sent yet."""
+        return self._writer.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Break the connection."""
         self._writer.transport.abort()
