Planned stop: announce the end of idle sessions instead of closing them

What callers saw: requests sent on an open, idle session of a node that was stopping, or that had lost its readiness, ended with a reset.

Cause: a session without a request for 0.3 s was taken to be free of requests in transit and closed, with what was in transit unread.

Fix: the protocol lets a server send an error while no request is outstanding; the caller then closes the session. The node sends ERROR BUSY and reads on. A request that crossed it has the error as its answer: it is not run, and READY completes the answer. So BUSY is true, and no request is cut whichever comes first. A caller that does not close is cut off after 1 s, after one more read of the socket.

--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -36,8 +36,7 @@
         unsent_bytes: Bytes of answers that are not sent yet.
         opened_at_s: Local time in seconds at which the connection was accepted.
         is_busy: Whether a request or a transaction is open.
-        is_idle: Whether the connection has been idle long enough that no request can
-            be in transit.
+        is_idle: Whether no request is open or to be expected at once.
     """
 
     end: SessionEnd | None
@@ -60,6 +59,16 @@
     def finish(self) -> None:
         """Close the connection after the next answer sent outside a transaction."""
 
+    def announce_end(self, reason: EndReason) -> None:
+        """Tell the caller of an idle session to close it.
+
+        Requests that the caller sent before it knew are refused, not run. The
+        connection is closed if the caller does not do so.
+
+        Args:
+            reason: Why the session is ended.
+        """
+
     def close(self, reason: EndReason) -> None:
         """Close the connection after answering a request that was already read.
 
@@ -166,30 +175,30 @@
             await connection.end_idle_transaction(now_s)
 
     def close_idle(self, opened_before_s: float, count: int) -> int:
-        """Close some idle sessions so that their callers reconnect to other nodes.
+        """End some idle sessions so that their callers reconnect to other nodes.
 
         Args:
             opened_before_s: Local time in seconds; only sessions that were opened
-                earlier are closed.
-            count: Largest number of sessions to close.
+                earlier are ended.
+            count: Largest number of sessions to end.
 
         Returns:
-            Number of closed sessions.
+            Number of ended sessions.
         """
         closed = 0
         for connection in list(self.connections):
             if closed == count:
                 break
             if connection.is_idle and connection.opened_at_s < opened_before_s:
-                connection.close(EndReason.UNREADY)
+                connection.announce_end(EndReason.UNREADY)
                 closed += 1
         return closed
 
     async def drain(self, limit_s: float) -> bool:
-        """Stop accepting, close idle sessions and wait for the others to end.
+        """Stop accepting, end idle sessions and wait until all have ended.
 
-        A session that was used a moment ago may have a request in transit. It is closed
-        after its next answer, or when no request has arrived.
+        A session that was used a moment ago ends after its next answer, or when no
+        request has arrived. Callers close ended sessions themselves.
 
         Args:
             limit_s: Longest wait in seconds.
@@ -207,7 +216,7 @@
             for connection in list(self.connections):
                 connection.finish()
                 if connection.is_idle:
-                    connection.close(EndReason.STOPPING)
+                    connection.announce_end(EndReason.STOPPING)
             await asyncio.sleep(DRAIN_POLL_S)
         is_clean = not any(item.is_busy for item in self.connections)
         for connection in list(self.connections):
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -1,11 +1,13 @@
 """Serves callers over the platform's line protocol."""
 
 import asyncio
+import contextlib
 
 import structlog
 
 from pollencleat.core.errors import (
     CallerError,
+    DrainingError,
     MalformedStatementError,
     PollencleatError,
     UnknownDatabaseError,
@@ -36,10 +38,24 @@
 """Seconds between two checks whether the process has joined the fleet."""
 
 CLOSE_IDLE_AFTER_S = 0.3
-"""A session counts as idle after this time; before, a request may be in transit."""
+"""A session counts as idle after this time; before, its next request is probably about
+to be sent."""
+
+LEAVE_LIMIT_S = 1.0
+"""How long a session whose end was announced stays open for its caller to close it."""
+
+LAST_READ_S = 0.05
+"""Time after LEAVE_LIMIT_S in which what has arrived is still read: after a suspension
+of the process, the limit may pass before the event loop has read the socket."""
 
 TOO_LARGE_CODE = "TOOLARGE"
 
+_announcements_by_reason = {
+    EndReason.STOPPING: "this node is stopping",
+    EndReason.UNREADY: "this node is not ready",
+    EndReason.LIMIT: "this node has stopped",
+}
+
 log = structlog.get_logger()
 
 
@@ -61,6 +77,7 @@
         self.opened_at_s = self._last_used_s
         self._is_finishing = False
         self._is_closing = False
+        self._leave_timer: asyncio.TimerHandle | None = None
         self.executor: SessionExecutor | None = None
         self.end: SessionEnd | None = None
         self.request_id = ""
@@ -70,7 +87,11 @@
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
                 line = await read_line(self._reader)
-            if line is None or not await self._start(line):
+            if line is None or self.end is not None:
+                return
+            async with self._lock:
+                is_started = await self._start(line)
+            if not is_started:
                 return
             while await self._serve_next():
                 pass
@@ -78,6 +99,8 @@
             # After an unreadable line, the start of the next one is unknown.
             self._write(encode_line("ERROR", TOO_LARGE_CODE, error.detail))
         finally:
+            if self._leave_timer is not None:
+                self._leave_timer.cancel()
             if self.executor is not None:
                 async with self._lock:
                     await self.executor.close()
@@ -119,6 +142,9 @@
         line = await read_line(self._reader)
         if line is None or line.startswith("TERMINATE"):
             return False
+        if self.end is not None:
+            await self._refuse(line)
+            return True
         self._last_used_s = self._access.clock()
         async with self._lock:
             try:
@@ -132,12 +158,24 @@
             else:
                 self._write_answer(answer)
         self._last_used_s = self._access.clock()
-        await self._writer.drain()
         if self._is_finishing and not self.executor.is_in_transaction:
-            self._note_end(EndReason.STOPPING, SessionActivity.ANSWERED)
-            return False
+            self.announce_end(EndReason.STOPPING, SessionActivity.ANSWERED)
+        await self._writer.drain()
         return not self._writer.is_closing()
 
+    async def _refuse(self, line: str) -> None:
+        """Complete the answer to a request that was sent before the end was known.
+
+        Its caller takes the error that announced the end as the answer.
+        """
+        request_id = line.split(" ", 2)[1] if " " in line else ""
+        self._access.metrics.count("request_refused_at_end")
+        log.info("request refused", reason=self.end.reason, request=request_id)
+        async with self._lock:
+            await self.executor.close()
+        self._write(self._ready_line("-"))
+        self._write_announcement(self.end.reason)
+
     def _write_answer(self, answer: Answer) -> None:
         lines = [encode_line("DATAROW", row) for row in answer.rows]
         lines.append(encode_line("COMPLETE", answer.receipt or "-"))
@@ -177,21 +215,61 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether it has been idle long enough that no request is in transit."""
-        idle_s = self._access.clock() - self._last_used_s
-        return not self.is_busy and idle_s > CLOSE_IDLE_AFTER_S
+        """Whether no request is open, has arrived or is to be expected at once."""
+        if self.is_busy or self.end is not None or self._unfinished_bytes:
+            return False
+        return self._access.clock() - self._last_used_s > CLOSE_IDLE_AFTER_S
+
+    @property
+    def _unfinished_bytes(self) -> int:
+        # StreamReader has no public count of what it has buffered.
+        return len(self._reader._buffer)
 
     def finish(self) -> None:
         """Close the connection after the next answer outside a transaction."""
         self._is_finishing = True
 
+    def announce_end(
+        self, reason: EndReason, activity: SessionActivity | None = None
+    ) -> None:
+        """Send an error that tells the caller to close an idle session.
+
+        A caller that has sent a request in the meantime takes the error as its answer;
+        the request is not run. The connection is closed if the caller does not do so.
+
+        Args:
+            reason: Why the session ends.
+            activity: What the session was doing, or None to find out.
+        """
+        if self.end is not None or self._writer.transport.is_closing():
+            return
+        self._note_end(reason, activity or self._activity())
+        # If the connection has just broken, the next read reports it.
+        with contextlib.suppress(ConnectionResetError):
+            self._write_announcement(reason)
+        loop = asyncio.get_running_loop()
+        self._leave_timer = loop.call_later(LEAVE_LIMIT_S, self._close_after_last_read)
+
+    def _write_announcement(self, reason: EndReason) -> None:
+        error = DrainingError(_announcements_by_reason[reason])
+        self._write(encode_line("ERROR", code_of_error(error), error.detail))
+
+    def _close_after_last_read(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._leave_timer = loop.call_later(LAST_READ_S, self._end_reading)
+
     def close(self, reason: EndReason) -> None:
         """Close the connection; a request that was read already is answered first."""
+        if self._writer.transport.is_closing():
+            return
+        self._note_end(reason, self._activity())
+        self._end_reading()
+
+    def _end_reading(self) -> None:
         transport = self._writer.transport
         if self._is_closing or transport.is_closing():
             return
         self._is_closing = True
-        self._note_end(reason, self._activity())
         # The reader accepts no data after feed_eof.
         transport.pause_reading()
         self._reader.feed_eof()
@@ -213,8 +291,7 @@
             reason,
             activity,
             round(idle_s * 1000),
-            # StreamReader has no public count of what it has buffered.
-            len(self._reader._buffer),
+            self._unfinished_bytes,
             self.executor.session.database if self.executor is not None else "",
             self.request_id,
         )
