Planned stop: wait until answers have left the process before it ends

A caller that reads slowly, or whose link is narrow, gets no answer or half of one.

Cause: the listener forgot a connection at the end of its session while up to 64 KiB of answers could still be in the process's write buffer; the drain then found no connection and the process ended.

Fix: a connection counts as open until its transport has sent everything and closed, at most a second; one that does not get there is counted as connection_broken.

--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -24,6 +24,9 @@
 """Interval at which the sessions are checked while the process drains."""
 
 
+SEND_LIMIT_S = 1.0
+"""How long a connection that has ended is kept to send the rest of its answers."""
+
 log = structlog.get_logger()
 
 
@@ -149,10 +152,20 @@
             log.error("session failed", request=connection.request_id)
             self._faults.record("session", error)
         finally:
+            await self._close_sent(writer)
             if connection in self.connections:
                 self.connections.discard(connection)
                 self._record_end(connection)
-            writer.close()
+
+    async def _close_sent(self, writer: asyncio.StreamWriter) -> None:
+        """Close a connection and wait until its answers are sent."""
+        writer.close()
+        try:
+            async with asyncio.timeout(SEND_LIMIT_S):
+                await writer.wait_closed()
+        except (OSError, TimeoutError) as error:
+            self._access.metrics.count("connection_broken", type(error).__name__)
+            writer.transport.abort()
 
     def _record_end(self, connection: SessionConnection) -> None:
         if connection.end is None:
