Planned stop: accept the connections that wait before listening ends

A connection made in the moment in which a stopping node ceased to listen was reset, with the request that its caller had already sent; one that was accepted but whose session had not begun was not waited for.

Cause: closing the listening socket resets what is in its accept queue (a node that was suspended for a moment has many there), and the drain looked only at sessions whose task had begun.

Fix: before and after closing the socket the drain lets the event loop run until no further session begins.

--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -27,6 +27,10 @@
 SEND_LIMIT_S = 1.0
 """How long a connection that has ended is kept to send the rest of its answers."""
 
+ACCEPT_PASSES = 8
+"""Passes of the event loop without a new session after which none waits to be accepted:
+asyncio takes four from the accept to the session, uvloop accepts one in a pass."""
+
 log = structlog.get_logger()
 
 
@@ -116,6 +120,7 @@
         self._max_message_bytes = max_message_bytes
         self._server: asyncio.Server | None = None
         self.connections: set[SessionConnection] = set()
+        self._accepted = 0
         self.port = 0
         self.stop_report = StopReport()
 
@@ -144,6 +149,7 @@
         configure_socket(writer)
         connection = self._make_connection(self._access, reader, writer)
         self.connections.add(connection)
+        self._accepted += 1
         try:
             await connection.serve()
         except (OSError, TimeoutError) as error:
@@ -219,10 +225,12 @@
         Returns:
             True if no open request or transaction was interrupted.
         """
+        await self._accept_waiting()
         report = self.stop_report = StopReport()
         report.sessions_at_close = len(self.connections)
         if self._server is not None:
             self._server.close()
+            await self._accept_waiting()
         log.info("listening ended", sessions=report.sessions_at_close)
         deadline_s = self._access.clock() + limit_s
         while self.connections and self._access.clock() < deadline_s:
@@ -236,6 +244,17 @@
             connection.close(EndReason.LIMIT)
         return is_clean
 
+    async def _accept_waiting(self) -> None:
+        """Let the event loop accept waiting connections and start their sessions."""
+        passes = 0
+        accepted = self._accepted
+        while passes < ACCEPT_PASSES:
+            await asyncio.sleep(0)
+            passes += 1
+            if self._accepted > accepted:
+                accepted = self._accepted
+                passes = 0
+
     def report_stop(self) -> StopReport:
         """Return what the drain did, sessions that are still open included."""
         for connection in list(self.connections):
--- a/pollencleat/engine/listener_test.py
+++ b/pollencleat/engine/listener_test.py
@@ -3,6 +3,7 @@
 import socket
 
 import pytest
+import uvloop
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.engine.access import ServerAccess
@@ -46,14 +47,18 @@
         pass
 
 
-@pytest.fixture
-async def listener():
+async def start_listener():
     loop = asyncio.get_running_loop()
     board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
     access = ServerAccess(board, Metrics("n"), loop.time, lambda server: None)
     listener = SessionListener(access, OneAnswer, 1 << 20)
     await listener.start(HOST, 0)
-    yield listener
+    return listener
+
+
+@pytest.fixture
+async def listener():
+    return await start_listener()
 
 
 def connect(listener):
@@ -83,3 +88,25 @@
     assert not draining.done()
     assert await read_to_end(client) == ANSWER
     assert await draining
+
+
+async def test_connections_in_the_accept_queue_are_served_by_a_drain(listener):
+    clients = [connect(listener) for _ in range(20)]
+    draining = asyncio.create_task(listener.drain(2.0))
+    for client in clients:
+        assert await read_to_end(client) == ANSWER
+    assert await draining
+
+
+def test_drain_accepts_what_waits_on_the_daemons_event_loop():
+    """On uvloop, a pass of the event loop accepts one connection."""
+
+    async def drain_with_waiting_connections():
+        listener = await start_listener()
+        clients = [connect(listener) for _ in range(20)]
+        draining = asyncio.create_task(listener.drain(2.0))
+        answers = [await read_to_end(client) for client in clients]
+        assert answers == [ANSWER] * len(clients)
+        assert await draining
+
+    uvloop.run(drain_with_waiting_connections())
