Connection pool: a closed pool refuses what waits and opens nothing

A statement that waits for a connection to a server that leaves, or on a node that ends its stop, waits for its whole queue time, and one whose connection opens in that moment is still sent, although nobody waits for it until it ends.

Evidence: both new tests failed before with E Failed: DID NOT RAISE BackendUnreachableError

Fix: close() refuses the waiting tickets, cancels the attempts to connect, and a connection that opens afterwards is closed. The statements have not run and are tried on another server.

--- a/pollencleat/backend/pool.py
+++ b/pollencleat/backend/pool.py
@@ -32,6 +32,7 @@
 
 OPEN_TIMEOUT_S = 2.0
 MIN_RETRY_AFTER_MS = 20
+CLOSED_POOL_DETAIL = "this node does not use the server any more"
 ANY_TERM = 0
 """Term of reads, whose consistency is checked by position and age instead."""
 
@@ -134,6 +135,7 @@
         self._idle: list[tuple[PooledConnection, int]] = []
         self._leases: set[Lease] = set()
         self._connection_attempts: set[asyncio.Task] = set()
+        self._is_closed = False
 
     def allow(
         self,
@@ -330,6 +332,8 @@
         )
 
     async def _open(self) -> PooledConnection:
+        if self._is_closed:
+            raise self._closed_error()
         self.open_count += 1
         started_at_s = self._clock()
         attempt = asyncio.get_running_loop().create_task(self._open_to_server())
@@ -339,9 +343,14 @@
                 await asyncio.wait((attempt,))
             if attempt.cancelled():
                 raise BackendError(
-                    "the connection attempt was cancelled because a new term began"
+                    CLOSED_POOL_DETAIL
+                    if self._is_closed
+                    else "the connection attempt was cancelled because a new term began"
                 )
             connection = attempt.result()
+            if self._is_closed:
+                connection.close()
+                raise BackendError(CLOSED_POOL_DETAIL)
             self._growth.note_opened(self._clock() - started_at_s)
             return connection
         except (BackendError, TimeoutError) as error:
@@ -461,10 +470,25 @@
             self._close(self._idle.pop()[0])
 
     def close(self) -> None:
-        """Close all connections, idle or in use."""
+        """Close all connections, idle or in use, and refuse waiting statements.
+
+        A closed pool opens no connection any more.
+        """
+        self._is_closed = True
         self.close_idle()
         for lease in self._leases:
             lease.connection.close()
+        for attempt in self._connection_attempts:
+            attempt.cancel()
+        for ticket in self.queue.withdraw_all():
+            if ticket.granted_future.done():
+                continue
+            ticket.granted_future.set_exception(self._closed_error())
+
+    def _closed_error(self) -> BackendUnreachableError:
+        return BackendUnreachableError(
+            f"server {self.server.server_id}: {CLOSED_POOL_DETAIL}", MIN_RETRY_AFTER_MS
+        )
 
     def _close(self, connection: PooledConnection) -> None:
         self.open_count -= 1
--- a/pollencleat/backend/pool_test.py
+++ b/pollencleat/backend/pool_test.py
@@ -318,3 +318,31 @@
     await borrow(pool)
     lease.release(True)
     await waiting
+
+
+async def test_closed_pool_refuses_waiting_statements_and_opens_no_connection(opened):
+    pool = make_pool()
+    leases = [await borrow(pool) for _ in range(pool.queue.capacity)]
+    waiting = asyncio.create_task(borrow(pool))
+    await asyncio.sleep(0)
+    leases[0].release(False)
+    opening = asyncio.create_task(borrow(pool))
+    granted = [waiting, opening]
+    pool.close()
+    for task in granted:
+        with pytest.raises(BackendUnreachableError):
+            await asyncio.wait_for(task, 1.0)
+    assert not any(connection.connected for connection in opened)
+    with pytest.raises((BackendUnreachableError, OverloadedError)):
+        await borrow(pool, wait_s=0.0)
+
+
+async def test_connection_that_opens_as_its_pool_is_closed_is_not_used(opened):
+    pool = make_pool()
+    opening = asyncio.create_task(borrow(pool))
+    while not opened:
+        await asyncio.sleep(0)
+    pool.close()
+    with pytest.raises(BackendUnreachableError):
+        await opening
+    assert not any(connection.connected for connection in opened)
--- a/pollencleat/limits/queue.py
+++ b/pollencleat/limits/queue.py
@@ -323,6 +323,17 @@
             del self.waiting_by_customer[ticket.customer_id]
         return True
 
+    def withdraw_all(self) -> list[Ticket]:
+        """Remove and return all waiting tickets."""
+        waiting = [
+            ticket
+            for tickets in self.waiting_by_customer.values()
+            for ticket in tickets
+        ]
+        self.waiting_by_customer.clear()
+        self.waiting = 0
+        return waiting
+
     def _grant(self, ticket: Ticket, now_s: float) -> None:
         ticket.granted_at_s = now_s
         self.in_use += 1
