Planned stop: use the grace period, then give every request a true answer

What callers saw: in a stop, transactions that were open 1.2 s before the end of the grace period lost their connection without a word, and a write or commit at work was broken off there, that is before its last sixth, with "outcome unknown". A read was tried on another server and its answer lost if the process ended first.

Cause: the drain ended at the grace period less 1.2 s, most of it kept for a resignation that takes some milliseconds; then sessions were closed first, and what was at work found out by itself, or not.

Fix: work goes on until an eighth of the grace period is left. Then the connections to servers are closed for good: no statement is sent any more (pools, gateways, retries and the timer that resized closed pools all check), so that every statement at work fails with the outcome that it already has for a lost connection: INDOUBT for a write or commit that was sent, ABORTED in a transaction, BUSY for what was not sent or only reads. Sessions without a request are told the end, with ABORTED if a transaction was open. The process waits until these answers are sent (0.25 s at most), resigns and ends. A BEGIN in the second half of the grace period is refused.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -425,7 +425,7 @@
         assert not (await client.query(f"WRITE k{number} before")).error
     for number, client in enumerate(clients):
         client.send_without_reading(f"WRITE k{number} as-it-stops")
-    assert await cluster.nodes[0].listener.drain(2.0)
+    assert await cluster.nodes[0].listener.drain(2.0, 1.0)
     for client in clients:
         assert not (await client.read_answer()).error
         assert await is_told_to_leave(client)
@@ -462,7 +462,7 @@
     clients = await connect_idle_sessions(cluster, 20)
     for number, client in enumerate(clients):
         client.send_without_reading(f"WRITE k{number} as-it-ends")
-    draining = asyncio.create_task(cluster.nodes[0].listener.drain(2.0))
+    draining = asyncio.create_task(cluster.nodes[0].listener.drain(2.0, 1.0))
     answers = await read_answers_as_the_session_ends(cluster, clients)
     assert {(item.error, item.state) for item in answers} <= {("", "I"), ("BUSY", "I")}
     assert await draining
@@ -482,7 +482,7 @@
 async def test_idle_session_is_closed_by_a_drain(cluster):
     client = await cluster.connect("main-db", 0)
     await asyncio.sleep(CLOSE_IDLE_AFTER_S + 0.1)
-    assert await cluster.nodes[0].listener.drain(2.0)
+    assert await cluster.nodes[0].listener.drain(2.0, 1.0)
     assert await is_told_to_leave(client)
 
 
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -84,12 +84,21 @@
 """Idle sessions that a node which lost its readiness closes per tick; a hundred take
 2.5 s, so that not all of them reconnect at the same moment."""
 
-STOP_RESERVE_S = 1.2
-"""Part of the grace period that is reserved for resigning and closing."""
+STOP_RESERVE = 1 / 8
+"""Part of the grace period that is kept for final answers, resigning and closing."""
+
+TRANSACTIONS_SHARE = 1 / 2
+"""Part of the grace period after which a stopping node begins no transaction."""
+
+FINAL_ANSWERS_LIMIT_S = 0.25
+"""Maximum time that a stopping node waits until its final answers are sent."""
 
 RESIGN_LIMIT_S = 0.7
 """Maximum time that a stopping node waits until its resignation is accepted."""
 
+EXIT_RESERVE_S = 0.15
+"""Part of the grace period that is reserved for the end of the process."""
+
 log = structlog.get_logger()
 
 
@@ -270,21 +279,28 @@
     async def stop(self) -> None:
         """Drain, resign and close within the grace period."""
         started_at_s = read_boottime_s()
+        grace_s = self.settings.grace_s
         sessions_at_start = len(self.listener.connections)
         log.info("draining", node=self.settings.node_id, sessions=sessions_at_start)
         self.board.draining = True
-        deadline_s = started_at_s + self.settings.grace_s - STOP_RESERVE_S
-        await asyncio.sleep(OUT_OF_ROTATION_AFTER_S)
-        is_clean = await self.listener.drain(deadline_s - read_boottime_s())
+        transactions_until_s = started_at_s + grace_s * TRANSACTIONS_SHARE
+        deadline_s = started_at_s + grace_s * (1 - STOP_RESERVE)
+        await asyncio.sleep(min(OUT_OF_ROTATION_AFTER_S, grace_s * TRANSACTIONS_SHARE))
+        now_s = read_boottime_s()
+        is_clean = await self.listener.drain(
+            deadline_s - now_s, transactions_until_s - now_s
+        )
         while self.lender.is_busy and read_boottime_s() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
         is_clean = is_clean and not self.lender.is_busy
         if not is_clean:
-            log.warning("drain limit reached", limit_s=self.settings.grace_s)
+            log.warning("drain limit reached", limit_s=deadline_s - started_at_s)
+        self.access.close()
         self._close_leases()
+        await self.listener.end_sessions(FINAL_ANSWERS_LIMIT_S)
         self.liveness.close()
-        self.access.close()
-        await self.resign(RESIGN_LIMIT_S)
+        left_s = started_at_s + grace_s - EXIT_RESERVE_S - read_boottime_s()
+        await self.resign(min(RESIGN_LIMIT_S, left_s))
         await self.close_runtime()
         await self.orders.close()
         await self.client.close()
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -16,6 +16,7 @@
 from pollencleat.core.errors import (
     BackendDeclinedError,
     BackendError,
+    DrainingError,
     UnknownDatabaseError,
     WritesUnavailableError,
 )
@@ -129,6 +130,8 @@
         servers_to_probe: Ids of servers to probe soon.
         probe_server: Has the server with the given id probed.
         has_been_ready: Whether the node has been ready to serve callers at least once.
+        accepts_transactions: Whether new transactions may begin.
+        is_stopped: Whether no statement may use a server any more.
         gateways: Client for connections that are pooled on gateways, or None.
         hedge_budget: Limits how many reads are also sent to a second server.
     """
@@ -155,6 +158,8 @@
         self.servers_to_probe: set[str] = set()
         self.probe_server: Callable[[str], None] = self.request_probe
         self.has_been_ready = False
+        self.accepts_transactions = True
+        self.is_stopped = False
         self.gateways: GatewayClient | None = None
         self.hedge_budget = RetryBudget()
 
@@ -166,7 +171,8 @@
         Args:
             is_ready: Whether the node accepts new callers.
         """
-        self.pools.apply_board()
+        if not self.is_stopped:
+            self.pools.apply_board()
         self.has_been_ready = self.has_been_ready or is_ready
 
     def route_of(self, database: str) -> Route:
@@ -473,7 +479,7 @@
         """
         deadline_s = self.clock() + CONFIRM_TIMEOUT_S
         while not is_primary_confirmed(self.board, term):
-            if self.clock() > deadline_s:
+            if self.is_stopped or self.clock() > deadline_s:
                 return False
             self.probe_server(term.primary)
             await asyncio.sleep(CONFIRM_POLL_INTERVAL_S)
@@ -499,8 +505,21 @@
         """
         self.servers_to_probe.add(server_id)
 
+    def require_not_stopped(self) -> None:
+        """Raise if no statement may use a server any more.
+
+        Raises:
+            DrainingError: The node has stopped.
+        """
+        if self.is_stopped:
+            raise DrainingError("this node has stopped")
+
     def close(self) -> None:
-        """Close all connection pools."""
+        """Close all connection pools; no statement uses a server any more.
+
+        Statements at work fail as they do when the connections to their servers break.
+        """
+        self.is_stopped = True
         self.pools.close()
 
 
--- a/pollencleat/engine/executor_test.py
+++ b/pollencleat/engine/executor_test.py
@@ -108,3 +108,10 @@
     begin_and_write(sessions)
     lapse_permit_after(sessions, 1)
     assert isinstance(sessions.execute(0, Commit("c1")), UnknownOutcomeError)
+
+
+def test_stopping_node_begins_no_transaction_that_it_cannot_end(sessions):
+    sessions.access.accepts_transactions = False
+    assert isinstance(sessions.execute(0, Begin("b1", False)), NotRunError)
+    assert not sessions.executors[0].is_in_transaction
+    assert write(sessions) is None
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -42,7 +42,7 @@
         request_id: The request at work, or the last one; empty before the first.
         unsent_bytes: Bytes of answers that are not sent yet.
         opened_at_s: Local time in seconds at which the connection was accepted.
-        is_busy: Whether a request or a transaction is open.
+        is_answering: Whether a request is at work.
         is_idle: Whether no request is open or to be expected at once.
     """
 
@@ -50,7 +50,7 @@
     request_id: str
     unsent_bytes: int
     opened_at_s: float
-    is_busy: bool
+    is_answering: bool
     is_idle: bool
 
     async def serve(self) -> None:
@@ -67,10 +67,11 @@
         """Close the connection after the next answer sent outside a transaction."""
 
     def announce_end(self, reason: EndReason) -> None:
-        """Tell the caller of an idle session to close it.
+        """Tell the caller of a session without a request at work to close it.
 
-        Requests that the caller sent before it knew are refused, not run. The
-        connection is closed if the caller does not do so.
+        Requests that the caller sent before it knew are refused, not run, and an open
+        transaction is rolled back. The connection is closed if the caller does not do
+        so. Announcing the end again has no effect.
 
         Args:
             reason: Why the session is ended.
@@ -213,7 +214,7 @@
                 closed += 1
         return closed
 
-    async def drain(self, limit_s: float) -> bool:
+    async def drain(self, limit_s: float, transactions_limit_s: float) -> bool:
         """Stop accepting, end idle sessions and wait until all have ended.
 
         A session that was used a moment ago ends after its next answer, or when no
@@ -221,9 +222,10 @@
 
         Args:
             limit_s: Longest wait in seconds.
+            transactions_limit_s: Seconds after which no transaction may begin.
 
         Returns:
-            True if no open request or transaction was interrupted.
+            True if all sessions have ended.
         """
         await self._accept_waiting()
         report = self.stop_report = StopReport()
@@ -232,17 +234,37 @@
             self._server.close()
             await self._accept_waiting()
         log.info("listening ended", sessions=report.sessions_at_close)
-        deadline_s = self._access.clock() + limit_s
-        while self.connections and self._access.clock() < deadline_s:
+        started_at_s = self._access.clock()
+        while self.connections:
+            passed_s = self._access.clock() - started_at_s
+            if passed_s >= limit_s:
+                return False
+            if passed_s >= transactions_limit_s:
+                self._access.accepts_transactions = False
             for connection in list(self.connections):
                 connection.finish()
                 if connection.is_idle:
                     connection.announce_end(EndReason.STOPPING)
             await asyncio.sleep(DRAIN_POLL_S)
-        is_clean = not any(item.is_busy for item in self.connections)
+        return True
+
+    async def end_sessions(self, limit_s: float) -> None:
+        """End all sessions after the final answers to the requests at work.
+
+        The access to servers must have been closed, so that all statements fail.
+
+        Args:
+            limit_s: Longest wait in seconds.
+        """
+        deadline_s = self._access.clock() + limit_s
+        while self.connections and self._access.clock() < deadline_s:
+            for connection in list(self.connections):
+                connection.finish()
+                if not connection.is_answering:
+                    connection.announce_end(EndReason.LIMIT)
+            await asyncio.sleep(DRAIN_POLL_S)
         for connection in list(self.connections):
             connection.close(EndReason.LIMIT)
-        return is_clean
 
     async def _accept_waiting(self) -> None:
         """Let the event loop accept waiting connections and start their sessions."""
--- a/pollencleat/engine/listener_test.py
+++ b/pollencleat/engine/listener_test.py
@@ -19,7 +19,7 @@
     """A session that sends one answer and ends."""
 
     is_idle = False
-    is_busy = False
+    is_answering = False
     end = None
     request_id = ""
     opened_at_s = 0.0
@@ -83,7 +83,7 @@
 async def test_drain_waits_until_an_answer_has_left_the_write_buffer(listener):
     client = connect(listener)
     await asyncio.sleep(0.1)
-    draining = asyncio.create_task(listener.drain(2.0))
+    draining = asyncio.create_task(listener.drain(2.0, 1.0))
     await asyncio.sleep(0.1)
     assert not draining.done()
     assert await read_to_end(client) == ANSWER
@@ -92,7 +92,7 @@
 
 async def test_connections_in_the_accept_queue_are_served_by_a_drain(listener):
     clients = [connect(listener) for _ in range(20)]
-    draining = asyncio.create_task(listener.drain(2.0))
+    draining = asyncio.create_task(listener.drain(2.0, 1.0))
     for client in clients:
         assert await read_to_end(client) == ANSWER
     assert await draining
@@ -104,7 +104,7 @@
     async def drain_with_waiting_connections():
         listener = await start_listener()
         clients = [connect(listener) for _ in range(20)]
-        draining = asyncio.create_task(listener.drain(2.0))
+        draining = asyncio.create_task(listener.drain(2.0, 1.0))
         answers = [await read_to_end(client) for client in clients]
         assert answers == [ANSWER] * len(clients)
         assert await draining
--- a/pollencleat/engine/steps.py
+++ b/pollencleat/engine/steps.py
@@ -104,7 +104,9 @@
         Raises:
             NoReplicaError: No server can run the read.
             WritesUnavailableError: No primary can run the write.
+            DrainingError: The node has stopped.
         """
+        self.access.require_not_stopped()
         self.trace.tries += 1
         if is_read:
             target = self.find_read_target(route, excluded)
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -7,6 +7,7 @@
     BackendError,
     BackendLostError,
     CallerError,
+    DrainingError,
     FailedError,
     MalformedStatementError,
     TransactionLostError,
@@ -51,10 +52,13 @@
 
         Raises:
             MalformedStatementError: One is open already.
+            DrainingError: The node stops before a transaction can be expected to end.
             WritesUnavailableError: It may write, and no primary can be written to.
         """
         if self._session.transaction is not None:
             raise MalformedStatementError("a transaction is already open")
+        if not self._access.accepts_transactions:
+            raise DrainingError("this node is stopping")
         route = self._access.route_of(self._session.database)
         now_s = self._access.clock()
         if not statement.read_only:
--- a/pollencleat/hops/borrower.py
+++ b/pollencleat/hops/borrower.py
@@ -119,6 +119,7 @@
         self._backoff_until_s: dict[str, float] = {}
         self._backoff_s: dict[str, float] = {}
         self._leases_held_sent_at_s = -1e9
+        self._is_closed = False
 
     async def borrow(self, connection_request: ConnectionRequest) -> BorrowedLease:
         """Borrow a connection, asking one gateway after the other.
@@ -152,7 +153,7 @@
         )
         for gateway in gateways[:MAX_GATEWAYS_TRIED]:
             remaining_s = deadline_s - self.clock()
-            if remaining_s < 0:
+            if remaining_s < 0 or self._is_closed:
                 break
             answer = await self._request_lease(
                 gateway.node_id, connection_request, remaining_s
@@ -183,6 +184,10 @@
         )
         if not isinstance(answer, LeaseGranted):
             return answer
+        if self._is_closed:
+            ended = LeaseEnded(self.board.node_id, request.lease_id, answer.state)
+            self.send(gateway_id, ended)
+            return None
         link = BorrowedLink(self, gateway_id, request.lease_id)
         apply_link_state(link, answer.state)
         lease = BorrowedLease(
@@ -282,7 +287,7 @@
         )
         for gateway in gateways[:MAX_GATEWAYS_TRIED]:
             remaining_s = deadline_s - self.clock()
-            if remaining_s <= 0:
+            if remaining_s <= 0 or self._is_closed:
                 break
             request = self._make_request(
                 connection_request, min(connection_request.wait_s, remaining_s)
@@ -470,9 +475,14 @@
             request.future.set_result(None)
 
     def close(self) -> None:
-        """End all leases."""
+        """End all leases and requests; no gateway is asked any more."""
+        self._is_closed = True
         for lease in list(self._leases.values()):
             self.release(lease, False)
+        for lease_id, request in list(self._requests.items()):
+            ended = LeaseEnded(self.board.node_id, lease_id, None)
+            self.send(request.gateway_id, ended)
+            self._abandon(request)
 
 
 def _make_refusal_error(server_id: str, answer: LeaseRefused) -> CallerError:
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -10,6 +10,7 @@
     DrainingError,
     MalformedStatementError,
     PollencleatError,
+    TransactionLostError,
     UnknownDatabaseError,
 )
 from pollencleat.core.sockets import write_bytes
@@ -136,6 +137,8 @@
         """Wait until a process that just started has its configuration and permit."""
         deadline_s = self._access.clock() + JOIN_TIMEOUT_S
         while not self._access.has_been_ready and self._access.clock() < deadline_s:
+            if self._is_finishing:
+                return
             await asyncio.sleep(JOIN_POLL_INTERVAL_S)
 
     async def _serve_next(self) -> bool:
@@ -200,10 +203,12 @@
         return encode_line("READY", state, position)
 
     @property
-    def is_busy(self) -> bool:
-        """Whether a request or a transaction is open."""
-        if self._lock.locked():
-            return True
+    def is_answering(self) -> bool:
+        """Whether a request is at work."""
+        return self._lock.locked()
+
+    @property
+    def _is_in_transaction(self) -> bool:
         return self.executor is not None and self.executor.is_in_transaction
 
     async def end_idle_transaction(self, now_s: float) -> None:
@@ -216,7 +221,9 @@
     @property
     def is_idle(self) -> bool:
         """Whether no request is open, has arrived or is to be expected at once."""
-        if self.is_busy or self.end is not None or self._unfinished_bytes:
+        if self.is_answering or self._is_in_transaction:
+            return False
+        if self.end is not None or self._unfinished_bytes:
             return False
         return self._access.clock() - self._last_used_s > CLOSE_IDLE_AFTER_S
 
@@ -232,10 +239,11 @@
     def announce_end(
         self, reason: EndReason, activity: SessionActivity | None = None
     ) -> None:
-        """Send an error that tells the caller to close an idle session.
+        """Send an error that tells the caller to close the session.
 
         A caller that has sent a request in the meantime takes the error as its answer;
-        the request is not run. The connection is closed if the caller does not do so.
+        the request is not run, and an open transaction is rolled back. The connection
+        is closed if the caller does not do so.
 
         Args:
             reason: Why the session ends.
@@ -251,7 +259,9 @@
         self._leave_timer = loop.call_later(LEAVE_LIMIT_S, self._close_after_last_read)
 
     def _write_announcement(self, reason: EndReason) -> None:
-        error = DrainingError(_announcements_by_reason[reason])
+        error: CallerError = DrainingError(_announcements_by_reason[reason])
+        if self._is_in_transaction:
+            error = TransactionLostError(error.detail)
         self._write(encode_line("ERROR", code_of_error(error), error.detail))
 
     def _close_after_last_read(self) -> None:
@@ -277,9 +287,9 @@
     def _activity(self) -> SessionActivity:
         if self.executor is None:
             return SessionActivity.STARTING
-        if self._lock.locked():
+        if self.is_answering:
             return SessionActivity.REQUEST
-        if self.executor.is_in_transaction:
+        if self._is_in_transaction:
             return SessionActivity.TRANSACTION
         return SessionActivity.IDLE
 
