Session: answer a request that meets an unexpected error

An exception that nobody expects (say a server whose pool is gone) ended the session without an answer to its request, and could keep the server connection of a write for good.

Evidence: ten new tests put a KeyError into the steps of reads, writes and commits.

Fix: the executor records the error with the request's id and answers with what is true: unknown if a write or commit was sent that the server has not refused, rolled back inside a transaction, not run otherwise. What may persist is noted where it is sent. Leases are released on every way out. The event "session failed" is replaced by the field request of "unexpected error".

--- a/pollencleat/core/faults.py
+++ b/pollencleat/core/faults.py
@@ -22,12 +22,13 @@
         """Call count with the name of the failing part for each error."""
         self._count = count
 
-    def record(self, part: str, error: Exception) -> None:
+    def record(self, part: str, error: Exception, **details: str) -> None:
         """Count an error and log it with its traceback.
 
         Args:
             part: Name of the part of the process that failed.
             error: The unexpected error.
+            **details: Further fields of the log line.
         """
         self._count(part)
         log.error(
@@ -35,4 +36,5 @@
             part=part,
             error=f"{type(error).__name__}: {error}",
             exc_info=error,
+            **details,
         )
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -119,7 +119,7 @@
             lambda server_id: reserved_connections(self.board, server_id) > 0,
         )
         self.access = ServerAccess(
-            self.board, self.metrics, read_boottime_s, self._make_pool
+            self.board, self.metrics, read_boottime_s, self._make_pool, self.faults
         )
         keys = make_curve_keys()
         self.board.public_key = keys.public.decode()
@@ -156,9 +156,7 @@
             LinkReply: self.borrower.on_link_reply,
             LeasesKnown: self.borrower.on_leases_known,
         }
-        self.listener = SessionListener(
-            self.access, ClientConnection, MAX_LINE_BYTES, self.faults
-        )
+        self.listener = SessionListener(self.access, ClientConnection, MAX_LINE_BYTES)
         self.endpoints = HttpEndpoints(self.metrics, self.faults)
         self._idle_check: asyncio.Task | None = None
         self._rotation = RotationWatch()
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -20,6 +20,7 @@
     UnknownDatabaseError,
     WritesUnavailableError,
 )
+from pollencleat.core.faults import ErrorRecorder
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply, Shape, Work
 from pollencleat.limits.gateways import is_pooled_at_gateways
@@ -134,6 +135,7 @@
         is_stopped: Whether no statement may use a server any more.
         gateways: Client for connections that are pooled on gateways, or None.
         hedge_budget: Limits how many reads are also sent to a second server.
+        faults: Records unexpected errors.
     """
 
     def __init__(
@@ -142,6 +144,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         make_pool: Callable[[BackendServer], ServerPool],
+        faults: ErrorRecorder | None = None,
     ) -> None:
         """Create the access to the servers on a blackboard.
 
@@ -150,7 +153,11 @@
             metrics: Counters of the node.
             clock: Local time in seconds.
             make_pool: Creates the connection pool of a server.
+            faults: Records unexpected errors; by default they are counted and logged.
         """
+        self.faults = faults or ErrorRecorder(
+            lambda part: metrics.count("unexpected_error", part)
+        )
         self.board = board
         self.metrics = metrics
         self.clock = clock
--- a/pollencleat/engine/executor.py
+++ b/pollencleat/engine/executor.py
@@ -11,7 +11,10 @@
 from pollencleat.core.errors import (
     CallerError,
     MalformedStatementError,
+    NotRunError,
+    TransactionLostError,
     UnknownNameError,
+    UnknownOutcomeError,
 )
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.reads import ReadRunner
@@ -88,11 +91,25 @@
         try:
             answer = await _handlers_by_type[type(statement)](self, statement)
         except CallerError as error:
-            await self._transactions.fail(error)
-            self._log(statement, started_s, error)
-            raise
-        self._log(statement, started_s, None)
-        return answer
+            failure = error
+        except Exception as error:
+            self.access.faults.record("statement", error, request=statement.request_id)
+            failure = self._describe_unexpected(error)
+        else:
+            self._log(statement, started_s, None)
+            return answer
+        await self._transactions.fail(failure)
+        self._log(statement, started_s, failure)
+        raise failure
+
+    def _describe_unexpected(self, error: Exception) -> CallerError:
+        """Return the error that states the outcome of a statement after a defect."""
+        detail = f"unexpected {type(error).__name__}"
+        if self._steps.trace.may_persist:
+            return UnknownOutcomeError(detail)
+        if self.is_in_transaction:
+            return TransactionLostError(detail)
+        return NotRunError(detail)
 
     def _log(
         self, statement: Statement, started_s: float, error: CallerError | None
--- a/pollencleat/engine/executor_test.py
+++ b/pollencleat/engine/executor_test.py
@@ -115,3 +115,58 @@
     assert isinstance(sessions.execute(0, Begin("b1", False)), NotRunError)
     assert not sessions.executors[0].is_in_transaction
     assert write(sessions) is None
+
+
+def raise_key_error(*arguments):
+    raise KeyError("defect")
+
+
+READ = Work("r1", Access.READ, "", "r")
+WRITE = Work("w1", Access.WRITE, "", "w")
+
+
+@pytest.mark.parametrize(
+    ("statement", "step", "outcome"),
+    [
+        (READ, "borrow", Outcome.NOT_RUN),
+        (READ, "note_position", Outcome.NOT_RUN),
+        (WRITE, "borrow", Outcome.NOT_RUN),
+        (WRITE, "is_still_writable", Outcome.NOT_RUN),
+        (WRITE, "note_position", Outcome.UNKNOWN),
+        (WRITE, "note_primary_confirmed", Outcome.UNKNOWN),
+    ],
+)
+def test_unexpected_error_is_answered_with_the_true_outcome(
+    sessions, statement, step, outcome
+):
+    setattr(sessions.access, step, raise_key_error)
+    error = sessions.execute(0, statement)
+    assert error.outcome is outcome
+    assert sessions.access.pools.pools_by_server["s"].queue.in_use == 0
+    if outcome is Outcome.NOT_RUN:
+        assert sessions.server.committed == []
+    else:
+        assert sessions.server.committed == ["w1"]
+    assert sessions.access.metrics.counts[("unexpected_error", "statement")] == 1
+
+
+@pytest.mark.parametrize(
+    ("statement", "step", "outcome"),
+    [
+        (READ, "note_position", Outcome.FAILED),
+        (WRITE, "is_still_writable", Outcome.FAILED),
+        (Commit("c1"), "is_still_writable", Outcome.NOT_RUN),
+        (Commit("c1"), "note_position", Outcome.UNKNOWN),
+    ],
+)
+def test_unexpected_error_in_a_transaction_ends_it(sessions, statement, step, outcome):
+    begin_and_write(sessions)
+    setattr(sessions.access, step, raise_key_error)
+    error = sessions.execute(0, statement)
+    assert error.outcome is outcome
+    if outcome is Outcome.UNKNOWN:
+        return
+    assert sessions.server.committed == []
+    del sessions.access.__dict__[step]
+    sessions.execute(0, Commit("c2"))
+    assert sessions.server.committed == []
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -6,7 +6,6 @@
 
 import structlog
 
-from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.sockets import configure_socket
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.endings import (
@@ -105,7 +104,6 @@
             SessionConnection,
         ],
         max_message_bytes: int,
-        faults: ErrorRecorder | None = None,
     ) -> None:
         """Create a listener; `start` opens its port.
 
@@ -113,9 +111,7 @@
             access: The node's connections to backend servers.
             make_connection: Creates the codec of an accepted connection.
             max_message_bytes: Largest message in bytes.
-            faults: Records unexpected errors.
         """
-        self._faults = faults or ErrorRecorder()
         self._access = access
         self._make_connection = make_connection
         self._max_message_bytes = max_message_bytes
@@ -156,8 +152,7 @@
         except (OSError, TimeoutError) as error:
             self._access.metrics.count("connection_broken", type(error).__name__)
         except Exception as error:
-            log.error("session failed", request=connection.request_id)
-            self._faults.record("session", error)
+            self._access.faults.record("session", error, request=connection.request_id)
         finally:
             await self._close_sent(writer)
             if connection in self.connections:
--- a/pollencleat/engine/steps.py
+++ b/pollencleat/engine/steps.py
@@ -52,6 +52,7 @@
         term: Group term whose write permit must be valid; 0 if none is needed.
         tries: Attempts, hedged reads included.
         last_failure: Detail of the last failed attempt, or empty.
+        may_persist: Whether a write or commit was sent that the server has not refused.
     """
 
     server_id: str = ""
@@ -60,6 +61,7 @@
     term: int = 0
     tries: int = 0
     last_failure: str = ""
+    may_persist: bool = False
 
 
 class RetryableError(PollencleatError):
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -100,6 +100,7 @@
             raise TransactionLostError("the write permit lapsed before the commit")
         lease = transaction.lease
         limit_s = transaction.route.statement_limit_ms / 1000
+        self._steps.trace.may_persist = transaction.has_written
         try:
             reply = await self._steps.await_reply(
                 lease, lease.connection.commit(statement), limit_s, transaction.route
@@ -220,7 +221,7 @@
             self._steps.require_current_log(
                 target, reply, known_position, transaction.route
             )
-        except RetryableError:
+        except BaseException:
             lease.release(False)
             raise
         if not transaction.read_only:
--- a/pollencleat/engine/writes.py
+++ b/pollencleat/engine/writes.py
@@ -58,19 +58,21 @@
         term = target.term
         try:
             name = await self._steps.restore_session(lease, work)
+            is_writable = self._access.is_still_writable(term)
         except (BackendError, TimeoutError) as error:
             lease.release(False)
             raise unreachable_error(target, error) from error
         except BaseException:
             lease.release(False)
             raise
-        if not self._access.is_still_writable(term):
+        if not is_writable:
             lease.release(True)
             raise WritesUnavailableError(
                 self._access.why_not_writable(route.group_id), RETRY_AFTER_MS
             )
         reusable = False
         sent_at_s = self._access.clock()
+        self._steps.trace.may_persist = True
         try:
             reply = await self._steps.await_reply(
                 lease,
@@ -95,6 +97,7 @@
 
     def _write_error(self, target: Target, reply: ServerReply) -> Exception:
         if reply.failure in NOT_RUN_FAILURES:
+            self._steps.trace.may_persist = False
             return RetryableError(self._steps.caller_error(target, reply))
         detail = f"{target.server_id}: {reply.failure}: {reply.detail}"
         self._steps.trace.last_failure = detail
