Server access: a server that left meanwhile is unreachable, not an unexpected error

What callers saw: nothing observed on a run; found by reading. A statement that started while its server's pool was removed met a KeyError: the answer of a second, faster server was thrown away if the slow one had left, and a gateway did not answer the request for a connection at all.

Evidence: the new test failed before with E KeyError: 'gone'

Fix: the lookup of a pool for a statement raises BackendUnreachableError, so that another server is tried, and a gateway refuses the request.

--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -16,6 +16,7 @@
 from pollencleat.core.errors import (
     BackendDeclinedError,
     BackendError,
+    BackendUnreachableError,
     DrainingError,
     UnknownDatabaseError,
     WritesUnavailableError,
@@ -266,7 +267,7 @@
             OverloadedError: The wait would be too long.
             BackendUnreachableError: No connection could be opened.
         """
-        pool = self.pools.pools_by_server[target.server_id]
+        pool = self._require_pool(target.server_id)
         if self.uses_gateways(target.server_id):
             connection_request = self.make_connection_request(
                 target, route, session, is_read
@@ -296,9 +297,12 @@
 
         Returns:
             The request.
+
+        Raises:
+            BackendUnreachableError: The server has left.
         """
         return ConnectionRequest(
-            self.pools.pools_by_server[target.server_id].server,
+            self._require_pool(target.server_id).server,
             session.account,
             route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE,
             target.term.term if target.term is not None else ANY_TERM,
@@ -307,14 +311,22 @@
             make_work_kind(route, session),
         )
 
+    def _require_pool(self, server_id: str) -> ServerPool:
+        pool = self.pools.pools_by_server.get(server_id)
+        if pool is None:
+            raise BackendUnreachableError(
+                f"server {server_id} has left", RETRY_AFTER_MS
+            )
+        return pool
+
     def uses_gateways(self, server_id: str) -> bool:
         """Return whether a server is reached through gateways, not from this node.
 
         Args:
-            server_id: Id of a server that has a pool.
+            server_id: Id of a server; False if it has left.
         """
-        pool = self.pools.pools_by_server[server_id]
-        if self.gateways is None or pool.queue.capacity:
+        pool = self.pools.pools_by_server.get(server_id)
+        if pool is None or self.gateways is None or pool.queue.capacity:
             return False
         return is_pooled_at_gateways(self.board, pool.server)
 
--- a/pollencleat/engine/reads.py
+++ b/pollencleat/engine/reads.py
@@ -147,9 +147,12 @@
         shape = None
         if work.prepared_name:
             shape = self._session.shapes_by_name[work.prepared_name]
-        connection_request = self._access.make_connection_request(
-            target, route, self._session, True
-        )
+        try:
+            connection_request = self._access.make_connection_request(
+                target, route, self._session, True
+            )
+        except BackendUnreachableError as error:
+            raise RetryableError(error) from error
         call = GatewayRead(work, shape, target.at_least)
         sent_at_s = self._access.clock()
         try:
--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -14,6 +14,7 @@
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.errors import (
     BackendError,
+    BackendUnreachableError,
     CallerError,
     OverloadedError,
 )
@@ -235,7 +236,11 @@
 
     async def _borrow(self, request: LeaseRequest) -> Lease:
         access = self._access
-        pool = access.pools.pools_by_server[request.server_id]
+        pool = access.pools.pools_by_server.get(request.server_id)
+        if pool is None:
+            raise BackendUnreachableError(
+                f"server {request.server_id} has left", RETRY_AFTER_MS
+            )
 
         def has_session_values(link: PooledConnection) -> bool:
             return link.values == request.values
