Gateway: tell borrowers when a stop ends their calls and requests

A gateway at the limit of its stop cancelled the calls of its borrowers without a word. Their callers waited for the route's time limit, or 1.2 s without a message, before they had an answer. The same after an unexpected error in a request or call.

Evidence: the new test failed before with > assert loop.time() - started_at_s < 0.3 E assert (1310.662134177 - 1310.211233394) < 0.3

Fix: a cancelled call is answered with an error when the gateway closes, a cancelled request is refused, and so are those that meet an unexpected error.

--- a/bench/hops_test.py
+++ b/bench/hops_test.py
@@ -366,3 +366,25 @@
         gateway.lender._requests_by_id.pop(lease_id).cancel()
     answer = await request
     assert answer.rows == ("one",)
+
+
+async def test_gateway_that_stops_at_its_limit_answers_calls_at_work(cluster):
+    """Guards against borrowers that wait for a gateway that has ended its stop."""
+    _, others = split_nodes(cluster)
+    number = others[0]
+    client = await cluster.connect("main-db", number)
+    for server in cluster.group.servers:
+        server.faults.silent = True
+    client.send_without_reading("WRITE k one")
+    borrower = cluster.nodes[number].borrower
+
+    def is_waiting():
+        return any(lease.connection.is_waiting for lease in borrower._leases.values())
+
+    await wait_for(is_waiting, 0.5)
+    gateway = find_gateway(cluster, number)
+    loop = asyncio.get_running_loop()
+    started_at_s = loop.time()
+    gateway.lender.close()
+    assert (await client.read_answer()).error == "INDOUBT"
+    assert loop.time() - started_at_s < 0.3
--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -100,6 +100,7 @@
         self._active_leases_by_id: dict[int, ActiveLease] = {}
         self._requests_by_id: dict[int, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
+        self._is_closed = False
 
     @property
     def is_busy(self) -> bool:
@@ -144,13 +145,23 @@
         process: Callable[..., Awaitable[None]],
         request: LeaseRequest | ReadRequest,
     ) -> None:
-        """Process a request; send RequestAtWork if the answer takes longer."""
+        """Process a request; send RequestAtWork if the answer takes longer.
+
+        A request that meets an unexpected error or the end of a stop is refused.
+        """
         message = RequestAtWork(self._board.node_id, lease.lease_id)
         at_work_timer = asyncio.get_running_loop().call_later(
             REQUEST_AT_WORK_DELAY_S, self._send, lease.node_id, message
         )
         try:
             await process(request)
+        except asyncio.CancelledError:
+            if self._is_closed:
+                self._refuse(lease, False, "the gateway has stopped")
+            raise
+        except Exception as error:
+            self._refuse(lease, False, f"unexpected {type(error).__name__}")
+            raise
         finally:
             at_work_timer.cancel()
 
@@ -344,8 +355,15 @@
                 active_lease.pool_lease.connection, message.call, message.arguments
             )
             reply = await access.track(server.server_id, call)
+        except asyncio.CancelledError:
+            if self._is_closed:
+                self._reply_error(message, "the gateway has stopped")
+            raise
         except (BackendError, TimeoutError) as error:
             self._reply_error(message, str(error) or type(error).__name__)
+        except Exception as error:
+            self._reply_error(message, f"unexpected {type(error).__name__}")
+            raise
         else:
             access.note_position(server.server_id, reply, sent_at_s, server.group_id)
             answer = LinkReply(
@@ -427,7 +445,11 @@
             self._end_lease(lease_id, False)
 
     def close(self) -> None:
-        """Cancel pending requests and calls, and close leased connections."""
+        """Cancel pending requests and calls, and close leased connections.
+
+        Their borrowers are told as soon as the event loop runs again.
+        """
+        self._is_closed = True
         for task in list(self._tasks):
             task.cancel()
         for lease_id in list(self._active_leases_by_id):
