Daemon: a reload signal during the start does not end the process

What callers saw: a process whose settings changed while it started died of SIGHUP and had to be started again.

Cause: the signal's handler is installed after all libraries are loaded (0.3 s here, more on a slow machine); until then the default action ends the process. Besides, the settings were read before the handler was there, so that a change in between could be missed.

SIGTERM during the start ends the process before it has accepted anything, or begins a stop once the handler is there.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -123,7 +123,7 @@
         path.write_text(json.dumps(settings))
         self.process = Process(
             f"vm-{self.number}",
-            ["pollencleat.daemon.main", "--on-platform"],
+            ["pollencleat.daemon", "--on-platform"],
             self._folder,
             {"POLLENCLEAT_BOOT": str(path)},
         )
--- a/pollencleat/daemon/main.py
+++ b/pollencleat/daemon/main.py
@@ -59,18 +59,23 @@
     )
 
     output = configure_output_logging(sys.stdout.fileno(), read_boottime_s)
-    try:
-        settings = load_settings_from_environment()
-    except SettingsError as error:
-        click.echo(str(error), err=True)
-        sys.exit(SETTINGS_EXIT_CODE)
 
     async def run() -> None:
-        application = PlatformApplication(settings, output)
-        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, application.reload)
+        application: PlatformApplication | None = None
+
+        def reload() -> None:
+            if application is not None:
+                application.reload()
+
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+        application = PlatformApplication(load_settings_from_environment(), output)
         await run_until_signal(application)
 
-    uvloop.run(run())
+    try:
+        uvloop.run(run())
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        sys.exit(SETTINGS_EXIT_CODE)
 
 
 def configure_logging(level: str) -> None:
