MySQL path: a stop answers the statements that have arrived or are at work

What callers saw: as a stop began, statements on idle connections ended with "Lost connection to MySQL server", also those whose bytes had arrived or had been read; at the drain limit, so did statements at work, whose outcome was known.

Cause: the same as on the other path: connections without a running statement were closed at once, and at the limit connections were closed before the statements had failed.

Fix: the drain lets the event loop read what has arrived, then ends reading; what was read is answered, as a rule with "stopping" [not run]. At the limit the pools are closed first, so that statements fail with their true outcome, then the answers are sent, then the connections are closed. A statement still in transit as its idle connection closes is lost unread as before; MySQL's protocol has no answer without a command.

--- a/bench/failures_test.py
+++ b/bench/failures_test.py
@@ -1,6 +1,7 @@
 """Failure scenarios of a running deployment, over real sockets."""
 
 import asyncio
+import dataclasses
 
 import asyncmy.errors
 import pytest
@@ -192,6 +193,43 @@
     idle.close()
 
 
+async def test_statement_that_arrives_as_a_stop_begins_is_answered(deployment):
+    """Guards against closing a connection whose statement has arrived."""
+    connections = [await deployment.connect("n1") for _ in range(10)]
+    sql = "INSERT INTO t (v) VALUES ('late')"
+    running = [asyncio.create_task(run(item, sql)) for item in connections]
+    await asyncio.sleep(0)
+    stopping = asyncio.create_task(deployment.nodes["n1"].stop())
+    results = await asyncio.gather(*running, return_exceptions=True)
+    errors = [str(result) for result in results if isinstance(result, Exception)]
+    assert [text for text in errors if "DrainingError [not run]" not in text] == []
+    primary = primary_of(deployment)
+    succeeded = len(results) - len(errors)
+    assert count_logged_statements(deployment, primary, "late") == succeeded
+    await stopping
+    del deployment.nodes["n1"]
+
+
+async def test_statement_at_the_drain_limit_gets_a_true_answer(deployment):
+    """Guards against closing a connection before its statement is answered."""
+    node = deployment.nodes["n1"]
+    writer = await deployment.connect("n1")
+    for server in deployment.servers.values():
+        server.service_s = 1.0
+    rules = node.board.inventory.rules
+    node.board.inventory = dataclasses.replace(
+        node.board.inventory, rules=dataclasses.replace(rules, drain_limit_s=0.2)
+    )
+    writing = asyncio.create_task(run(writer, "INSERT INTO t (v) VALUES ('cut')"))
+    await asyncio.sleep(0.2)
+    stopping = asyncio.create_task(node.stop())
+    with pytest.raises(asyncmy.errors.MySQLError) as caught:
+        await writing
+    assert "UnknownOutcomeError [unknown]" in str(caught.value)
+    await stopping
+    del deployment.nodes["n1"]
+
+
 async def test_overload_is_refused_early_as_not_run(deployment):
     for server in deployment.servers.values():
         server.service_s = 0.5
--- a/pollencleat/callers/connection.py
+++ b/pollencleat/callers/connection.py
@@ -102,6 +102,7 @@
         self.context = StatementContext(gateway, session, stream, self)
         self.prepared_by_id: dict[int, PreparedStatement] = {}
         self.is_executing = False
+        self._has_ended_reading = False
         # Callers compare the autocommit flag of the initial handshake packet with the
         # mode that they want.
         self._update_status_flags()
@@ -203,11 +204,8 @@
     # Commands.
 
     async def command_phase(self) -> None:
-        """Execute commands until the caller disconnects or the node drains.
-
-        A draining node still serves an open transaction to its end.
-        """
-        while not (self.gateway.board.draining and self.session.transaction is None):
+        """Execute commands until the caller disconnects or the node ends reading."""
+        while True:
             try:
                 data = await self.stream.read()
             except ConnectionClosed:
@@ -223,6 +221,16 @@
                 self.is_executing = False
                 self.stream.reset_seq()
 
+    def end_reading(self) -> None:
+        """End the connection after the commands that have been read."""
+        transport = self.stream.writer.transport
+        if self._has_ended_reading or transport.is_closing():
+            return
+        self._has_ended_reading = True
+        # The reader accepts no data after feed_eof.
+        transport.pause_reading()
+        self.stream.reader.feed_eof()
+
     async def _execute_command(self, data: bytes) -> bool:
         if not data or data[0] == 0x01:
             return False
--- a/pollencleat/callers/server.py
+++ b/pollencleat/callers/server.py
@@ -13,10 +13,18 @@
 from pollencleat.callers.session import CallerSession
 from pollencleat.callers.stream import CallerStream
 from pollencleat.core.errors import PollencleatError
+from pollencleat.core.sockets import close_when_sent
 
 READ_BUFFER_BYTES = 64 * 1024
 LISTEN_BACKLOG = 4096
 DRAIN_POLL_S = 0.02
+READ_PASSES = 4
+"""Passes of the event loop in which a drain reads what has arrived, before it ends
+the connections that are idle."""
+
+SEND_LIMIT_S = 1.0
+"""How long a connection that has ended is kept to send the rest of its answers."""
+
 log = structlog.get_logger()
 
 
@@ -81,37 +89,53 @@
             # The library raises many types of error on malformed handshakes.
             self.gateway.metrics.count("connection_broken", type(error).__name__)
         finally:
-            self.connections.discard(connection)
             await connection.session.close()
             await self._control.remove(connection.connection_id)
-            writer.close()
+            if not await close_when_sent(writer, SEND_LIMIT_S):
+                self.gateway.metrics.count("connection_broken", "answers not sent")
+            self.connections.discard(connection)
 
     async def drain(self, timeout_s: float) -> bool:
-        """Stop accepting, wait for statements and transactions, and close.
+        """Stop accepting and wait until the connections have ended.
+
+        A connection ends when no statement or transaction is open; statements that have
+        arrived are answered before.
 
         Args:
             timeout_s: Longest wait in seconds.
 
         Returns:
-            True if no running statement or open transaction was cut off.
+            True if no statement or transaction is open.
         """
         if self._server is not None:
             self._server.close()
+        for _ in range(READ_PASSES):
+            await asyncio.sleep(0)
         deadline_s = self.gateway.clock() + timeout_s
         while self.gateway.clock() < deadline_s:
-            self._close_idle()
+            for connection in list(self.connections):
+                if not self._is_busy(connection):
+                    connection.end_reading()
             if not self.connections:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        is_clean = not any(self._is_busy(item) for item in self.connections)
-        for connection in list(self.connections):
-            connection.stream.writer.close()
-        return is_clean
+        return not any(self._is_busy(item) for item in self.connections)
 
-    def _close_idle(self) -> None:
+    async def close(self, limit_s: float) -> None:
+        """Close all connections after the answers to the statements at work.
+
+        The gateway must have been closed, so that all statements fail.
+
+        Args:
+            limit_s: Longest wait in seconds.
+        """
+        deadline_s = self.gateway.clock() + limit_s
         for connection in list(self.connections):
-            if not self._is_busy(connection):
-                connection.stream.writer.close()
+            connection.end_reading()
+        while self.connections and self.gateway.clock() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        for connection in list(self.connections):
+            connection.stream.writer.close()
 
     def _is_busy(self, connection: CallerConnection) -> bool:
         return connection.is_executing or connection.session.transaction is not None
--- a/pollencleat/core/sockets.py
+++ b/pollencleat/core/sockets.py
@@ -31,6 +31,26 @@
         raise ConnectionResetError(str(error)) from error
 
 
+async def close_when_sent(writer: asyncio.StreamWriter, limit_s: float) -> bool:
+    """Close a connection and wait until everything written has been sent.
+
+    Args:
+        writer: The connection.
+        limit_s: Longest wait in seconds; then the connection is aborted.
+
+    Returns:
+        False if not everything was sent.
+    """
+    writer.close()
+    try:
+        async with asyncio.timeout(limit_s):
+            await writer.wait_closed()
+    except (OSError, TimeoutError):
+        writer.transport.abort()
+        return False
+    return True
+
+
 def configure_socket(writer: asyncio.StreamWriter) -> None:
     """Set socket options so that an unresponsive remote end closes the connection.
 
--- a/pollencleat/daemon/application.py
+++ b/pollencleat/daemon/application.py
@@ -21,6 +21,9 @@
 
 BOARD_TICK_S = 0.05
 RESIGN_LIMIT_S = 3.0
+FINAL_ANSWERS_LIMIT_S = 1.0
+"""Maximum time that a stopping node waits until its final answers are sent."""
+
 CLOSE_UNUSED_TICK_S = 10.0
 log = structlog.get_logger()
 
@@ -100,6 +103,7 @@
             self.metrics.count("drain_cut_off")
             log.warning("drain limit reached", limit_s=limit_s)
         self.gateway.close()
+        await self.callers.close(FINAL_ANSWERS_LIMIT_S)
         await self.resign(RESIGN_LIMIT_S)
         await self.close_runtime()
         await self.store.close()
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -6,7 +6,7 @@
 
 import structlog
 
-from pollencleat.core.sockets import configure_socket
+from pollencleat.core.sockets import close_when_sent, configure_socket
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.endings import (
     EndReason,
@@ -154,21 +154,12 @@
         except Exception as error:
             self._access.faults.record("session", error, request=connection.request_id)
         finally:
-            await self._close_sent(writer)
+            if not await close_when_sent(writer, SEND_LIMIT_S):
+                self._access.metrics.count("connection_broken", "answers not sent")
             if connection in self.connections:
                 self.connections.discard(connection)
                 self._record_end(connection)
 
-    async def _close_sent(self, writer: asyncio.StreamWriter) -> None:
-        """Close a connection and wait until its answers are sent."""
-        writer.close()
-        try:
-            async with asyncio.timeout(SEND_LIMIT_S):
-                await writer.wait_closed()
-        except (OSError, TimeoutError) as error:
-            self._access.metrics.count("connection_broken", type(error).__name__)
-            writer.transport.abort()
-
     def _record_end(self, connection: SessionConnection) -> None:
         if connection.end is None:
             return
