--- a/pollencleat/engine/steps.py
+++ b/pollencleat/engine/steps.py
@@ -52,6 +52,7 @@
         term: Group term whose write permit must be valid; 0 if none is needed.
         tries: Attempts, hedged reads included.
         last_failure: Detail of the last failed attempt, or empty.
+        may_persist: Whether a write or commit was sent that the server has not refused.
     """
 
     server_id: str = ""
@@ -60,6 +61,7 @@
     term: int = 0
     tries: int = 0
     last_failure: str = ""
+    may_persist: bool = False
 
 
 class RetryableError(PollencleatError):
@@ -104,7 +106,9 @@
         Raises:
             NoReplicaError: No server can run the read.
             WritesUnavailableError: No primary can run the write.
+            DrainingError: The node has stopped.
         """
+        self.access.require_not_stopped()
         self.trace.tries += 1
         if is_read:
             target = self.find_read_target(route, excluded)
