One object that cannot be decoded hides no other in a list or a watch

Callers saw: nothing at first; the node stopped following the kind. With one server entry nested 100,000 deep, in any field, msgspec raises RecursionError while it skips the value. That is no MsgspecError, so the whole list and every watch answer with the entry failed, the good entries beside it too; the watch started again with a list and met it again, with a traceback every 0.2 s. The same holds for `Infinity` and `NaN` (what a store in Python makes of a stored 1e999), half a surrogate pair and control characters: the answer as a whole was malformed. Also, the list ended at a page whose objects were all unreadable, so that the pages after it were missing, and an era that fits into no version was adopted, after which no heartbeat could be encoded.

Cause: the answer was decoded in one step that fails as a whole, and the list went on from the last readable object.

Why this works: an answer that cannot be decoded as a whole is split into its entries by brackets and strings alone, without recursion and in linear time, and each entry is decoded by itself. The usual answer takes the same path as before. The name of an unreadable object is taken from its own meta, so that the list goes on after it and the log names it. Each refused object is logged and counted (object_refused) once per reason instead of at every poll. Revisions and eras are checked to fit.

What remains: an answer in which no entry of a page has a name is refused as a whole; a partial list would remove the servers of the later pages.

--- a/pollencleat/core/versions.py
+++ b/pollencleat/core/versions.py
@@ -12,6 +12,9 @@
 
 MAX_REVISION = (1 << REVISION_BITS) - 1
 
+MAX_ERA = (1 << 63 - REVISION_BITS) - 1
+"""Highest era whose versions fit into a signed 64-bit number."""
+
 
 def make_version(era: int, revision: int) -> int:
     """Return the version of a revision.
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -41,7 +41,7 @@
 from pollencleat.peers.transport import make_curve_keys
 from pollencleat.platform.clients import ClientConnection
 from pollencleat.platform.endpoints import HttpEndpoints
-from pollencleat.platform.objects import ObjectClient
+from pollencleat.platform.objects import ObjectClient, RefusedObjects
 from pollencleat.platform.orders import PlatformOrders
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import (
@@ -102,7 +102,10 @@
         self.settings = settings
         self.board.tracks_all_requests = True
         self._output = output
-        self.client = ObjectClient(settings.store)
+        self.client = ObjectClient(
+            settings.store,
+            RefusedObjects(lambda kind: self.metrics.count("object_refused", kind)),
+        )
         self.orders = PlatformOrders(
             self.board,
             settings.promotion,
--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -4,8 +4,9 @@
 out by reading, and never resend a change without its expected revision.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Annotated
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -16,7 +17,10 @@
     StoreError,
     StoreUnavailableError,
 )
+from pollencleat.core.nesting import find_nested, split_nested
 from pollencleat.core.versions import (
+    MAX_ERA,
+    MAX_REVISION,
     era_of,
     format_version,
     make_version,
@@ -34,6 +38,15 @@
 
 OBJECTS_PATH = "/api/objects"
 
+ENTRIES_DEPTH = 2
+"""Arrays and objects around the entries of a list or watch answer."""
+
+MAX_REASON_CHARACTERS = 200
+"""Longest reason in the log; malformed values are quoted in it."""
+
+MAX_REFUSED = 1_000
+"""Refused objects that are remembered, so that each is logged once."""
+
 ERA_HEADER = "store-era"
 """Header of all answers; rises by one when the store comes back from an older copy."""
 
@@ -46,6 +59,8 @@
 log = structlog.get_logger()
 
 Json = dict | list | str | int | float | bool | None
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+Refuse = Callable[[str, str], None]
 
 
 class HistoryGoneError(StoreError):
@@ -59,7 +74,7 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
 
 
 class StoredObject(msgspec.Struct, frozen=True):
@@ -82,15 +97,19 @@
     deleted: bool = False
 
 
-class _ListPage(msgspec.Struct, frozen=True):
+class _ListPage(msgspec.Struct):
     items: list[msgspec.Raw]
-    current_rev: int
+    current_rev: Revision
     has_more: bool = False
 
 
-class _WatchAnswer(msgspec.Struct, frozen=True):
+class _WatchAnswer(msgspec.Struct):
     events: list[msgspec.Raw]
-    current_rev: int
+    current_rev: Revision
+
+
+class _Name(msgspec.Struct, frozen=True):
+    name: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,16 +128,49 @@
     version: int
 
 
+class RefusedObjects:
+    """Objects of other writers that cannot be used; logs and counts each once."""
+
+    def __init__(self, count: Callable[[str], None] = lambda kind: None) -> None:
+        """Call count with the kind of each refused object."""
+        self._count = count
+        self._reasons_by_object: dict[tuple[str, str], str] = {}
+
+    def refuse(self, kind: str, name: str, reason: str) -> None:
+        """Log and count an object, unless it was refused for the same reason before.
+
+        Args:
+            kind: Its kind.
+            name: Its name; empty if it cannot be read.
+            reason: Why it cannot be used.
+        """
+        reason = reason[:MAX_REASON_CHARACTERS]
+        if self._reasons_by_object.pop((kind, name), None) != reason:
+            self._count(kind)
+            log.warning("object refused", kind=kind, name=name[:80], reason=reason)
+        self._reasons_by_object[(kind, name)] = reason
+        while len(self._reasons_by_object) > MAX_REFUSED:
+            del self._reasons_by_object[next(iter(self._reasons_by_object))]
+
+    def accept(self, kind: str, name: str) -> None:
+        """Forget an object that was used or removed."""
+        self._reasons_by_object.pop((kind, name), None)
+
+
 class ObjectClient:
     """HTTP client of the platform's store.
 
     Attributes:
         calls: Number of calls so far.
         era: Highest era of the store in an answer so far.
+        refused: Objects that cannot be used.
     """
 
-    def __init__(self, address: Endpoint) -> None:
-        """Use the store at an address."""
+    def __init__(
+        self, address: Endpoint, refused: RefusedObjects | None = None
+    ) -> None:
+        """Use the store at an address; refused objects are logged by default."""
+        self.refused = refused or RefusedObjects()
         self._http = HttpClient(address.host, address.port)
         self.calls = 0
         self.era = 0
@@ -157,6 +209,7 @@
 
         Raises:
             StoreUnavailableError: No answer.
+            StoreError: A page cannot be read, or the one after it cannot be asked for.
         """
         objects_by_name: dict[str, StoredObject] = {}
         version = None
@@ -164,17 +217,19 @@
         while True:
             params = {"after": after} if after else {}
             _, body = await self._call("GET", f"/{kind}", params=params)
-            page = _decode(body, _ListPage)
+            page = _decode_entries(body, _ListPage)
             page_version = make_version(self.era, page.current_rev)
             version = page_version if version is None else version
             if era_of(version) != self.era:
                 raise StoreUnavailableError(f"{kind}: restored between two pages")
-            items = _decode_readable(page.items, StoredObject)
-            for item in items:
+            for item in _decode_readable(page.items, StoredObject, self._refuse(kind)):
                 objects_by_name[item.meta.name] = _with_era(item, self.era)
-            if not page.has_more or not items:
+            if not page.has_more:
                 return ObjectList(objects_by_name, version)
-            after = items[-1].meta.name
+            last = _find_last_name(page.items)
+            if last in ("", after):
+                raise StoreError(f"{kind}: no name to continue from after {after!r}")
+            after = last
 
     async def watch(self, kind: str, version: int, wait_s: float) -> ObjectChanges:
         """Wait for changes of a kind.
@@ -206,10 +261,12 @@
             raise HistoryGoneError(
                 f"{kind}: changes since {format_version(version)} were discarded"
             )
-        answer = _decode(body, _WatchAnswer)
+        answer = _decode_entries(body, _WatchAnswer)
         events = [
             ObjectEvent(_with_era(event.object, self.era), event.deleted)
-            for event in _decode_readable(answer.events, ObjectEvent)
+            for event in _decode_readable(
+                answer.events, ObjectEvent, self._refuse(kind)
+            )
         ]
         return ObjectChanges(tuple(events), make_version(self.era, answer.current_rev))
 
@@ -256,6 +313,9 @@
         }
         return await self._change("PUT", f"/{kind}/{name}", body, era_of(version))
 
+    def _refuse(self, kind: str) -> Refuse:
+        return lambda name, reason: self.refused.refuse(kind, name, reason)
+
     async def _change(self, method: str, path: str, body: Json, era: int) -> int:
         """Send a change that is meant for an era of the store."""
         if era != self.era:
@@ -297,6 +357,8 @@
         if not is_decimal_number(text):
             raise StoreError(f"{call}: malformed era {text[:20]!r}")
         era = int(text)
+        if era > MAX_ERA:
+            raise StoreError(f"{call}: era {era} is out of range")
         if era < self.era:
             raise StoreUnavailableError(f"{call}: answered before the restore")
         if era > self.era:
@@ -307,10 +369,27 @@
 def _decode(body: bytes, kind: type) -> object:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise StoreError(f"malformed answer of the store: {error}") from error
 
 
+def _decode_entries(body: bytes, kind: type[_ListPage | _WatchAnswer]) -> object:
+    """Decode an answer except for its entries, which may each be malformed."""
+    try:
+        return _decode(body, kind)
+    except StoreError:
+        outline, parts = split_nested(body, ENTRIES_DEPTH)
+    answer = _decode(outline, kind)
+    entries = answer.items if kind is _ListPage else answer.events
+    entries[:] = [
+        msgspec.Raw(parts[msgspec.json.decode(entry)[0]])
+        if bytes(entry).startswith(b"[")
+        else entry
+        for entry in entries
+    ]
+    return answer
+
+
 def _with_era(stored: StoredObject, era: int) -> StoredObject:
     """Return an object whose meta holds its version instead of its revision."""
     version = make_version(era, stored.meta.revision)
@@ -319,12 +398,34 @@
     )
 
 
-def _decode_readable(items: list[msgspec.Raw], kind: type) -> list:
+def _decode_readable(
+    items: list[msgspec.Raw],
+    kind: type,
+    refuse: Refuse = lambda name, reason: None,
+) -> list:
     """Return the items that can be decoded; other writers may store malformed ones."""
     readable = []
     for item in items:
         try:
             readable.append(msgspec.json.decode(item, type=kind))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log.info("object refused", kind=kind.__name__, reason=str(error))
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            refuse(_find_name(bytes(item)), str(error))
     return readable
+
+
+def _find_name(entry: bytes) -> str:
+    """Return the name of a malformed object or event; empty if it has none."""
+    stored = find_nested(entry, b"object") or entry
+    try:
+        return msgspec.json.decode(find_nested(stored, b"meta"), type=_Name).name
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return ""
+
+
+def _find_last_name(items: list[msgspec.Raw]) -> str:
+    """Return the last name on a page; empty if no entry has one."""
+    for item in reversed(items):
+        name = _find_name(bytes(item))
+        if name:
+            return name
+    return ""
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -21,6 +21,8 @@
     ObjectChanges,
     ObjectClient,
     ObjectList,
+    RefusedObjects,
+    StoredObject,
 )
 from pollencleat.platform.records import decode_inventory, decode_server
 
@@ -145,24 +147,38 @@
     if declared is not None:
         inventory = decode_inventory(declared.spec)
     listed = await client.list_objects(SERVERS_KIND)
-    entries = _decode_servers(listed)
+    entries = _decode_servers(listed, client.refused)
     leaving = tuple(sorted(name for name in entries if entries[name][1]))
     servers_by_id = {name: server for name, (server, _) in entries.items()}
     vms = VmList(listed.version, None, leaving, servers_by_id)
     return PlatformState(fleet, inventory, vms)
 
 
-def _decode_servers(listed: ObjectList) -> dict[str, tuple[BackendServer, bool]]:
-    """Return server and leaving flag by server id; malformed entries are logged."""
+def _decode_servers(
+    listed: ObjectList, refused: RefusedObjects
+) -> dict[str, tuple[BackendServer, bool]]:
+    """Return server and leaving flag by server id, without malformed entries."""
     entries = {}
     for name, stored in listed.objects_by_name.items():
-        try:
-            entries[name] = decode_server(stored)
-        except StoreError as error:
-            log.info("server entry refused", server=name, reason=str(error))
+        entry = _decode_server(stored, refused)
+        if entry is not None:
+            entries[name] = entry
     return entries
 
 
+def _decode_server(
+    stored: StoredObject, refused: RefusedObjects
+) -> tuple[BackendServer, bool] | None:
+    name = stored.meta.name
+    try:
+        entry = decode_server(stored)
+    except StoreError as error:
+        refused.refuse(SERVERS_KIND, name, str(error))
+        return None
+    refused.accept(SERVERS_KIND, name)
+    return entry
+
+
 class StoreWatcher:
     """Tracks the objects of one kind: lists them, then watches for changes."""
 
@@ -257,8 +273,9 @@
         try:
             inventory = decode_inventory(spec)
         except StoreError as error:
-            log.warning("inventory refused", reason=str(error))
+            client.refused.refuse(INVENTORY_KIND, name, str(error))
             return
+        client.refused.accept(INVENTORY_KIND, name)
         if board.adopt_inventory(inventory):
             log.info("inventory adopted", version=inventory.version, source="store")
 
@@ -298,20 +315,19 @@
     """
 
     def on_list(listed: ObjectList) -> None:
-        directory.replace_all(_decode_servers(listed), listed.version)
+        entries = _decode_servers(listed, client.refused)
+        directory.replace_all(entries, listed.version)
 
     def on_changes(changes: ObjectChanges) -> None:
         for event in changes.events:
             name = event.object.meta.name
             if event.deleted:
+                client.refused.accept(SERVERS_KIND, name)
                 directory.remove(name, event.object.meta.revision)
                 continue
-            try:
-                server, leaving = decode_server(event.object)
-            except StoreError as error:
-                log.info("server entry refused", server=name, reason=str(error))
-                continue
-            directory.update(server, leaving, event.object.meta.revision)
+            entry = _decode_server(event.object, client.refused)
+            if entry is not None:
+                directory.update(*entry, event.object.meta.revision)
         directory.publish(changes.version)
 
     return StoreWatcher(
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import copy
+import json
 import random
 from dataclasses import dataclass, field
 from typing import Any
@@ -18,6 +19,9 @@
 PAGE_SIZE = 500
 """Default number of objects per list page."""
 
+RAW_MARK = "raw JSON "
+"""Stands for raw JSON text while an answer is encoded."""
+
 ERA_HEADER = "Store-Era"
 
 MAX_COPIES = 64
@@ -27,6 +31,13 @@
 """Longest wait of a watch, and how long calls hang in the ``silent`` fault."""
 
 
+@dataclass(frozen=True)
+class RawJson:
+    """JSON text that answers contain as it is, such as a number no float can hold."""
+
+    text: str
+
+
 @dataclass
 class StoreFaults:
     """Active faults of the store.
@@ -242,6 +253,20 @@
 
     # HTTP request handlers.
 
+    def _respond(self, content: Any, status: int = 200) -> web.Response:
+        raw_texts: list[str] = []
+
+        def replace_raw(value: Any) -> str:
+            if not isinstance(value, RawJson):
+                raise TypeError(f"not JSON: {type(value).__name__}")
+            raw_texts.append(value.text)
+            return f"{RAW_MARK}{len(raw_texts) - 1}"
+
+        text = json.dumps(content, default=replace_raw)
+        for index, raw_text in enumerate(raw_texts):
+            text = text.replace(f'"{RAW_MARK}{index}"', raw_text, 1)
+        return web.json_response(text=text, status=status)
+
     async def _list(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
         if "watch" in request.query:
@@ -249,7 +274,7 @@
         after = request.query.get("after", "")
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
         page = names[: self._page_size]
-        return web.json_response(
+        return self._respond(
             {
                 "items": [self.objects[kind][name] for name in page],
                 "has_more": len(names) > len(page),
@@ -271,7 +296,7 @@
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if matching_events or remaining_s <= 0:
-                return web.json_response(
+                return self._respond(
                     {"events": matching_events, "current_rev": self.revision}
                 )
             async with self._changed:
@@ -284,7 +309,7 @@
         item = self._find_object(request)
         if item is None:
             return web.Response(status=404)
-        return web.json_response(item)
+        return self._respond(item)
 
     def _find_object(self, request: web.Request) -> dict | None:
         kind, name = request.match_info["kind"], request.match_info["name"]
@@ -294,9 +319,9 @@
         body = await request.json()
         kind, name = request.match_info["kind"], body["meta"]["name"]
         if name in self.objects.get(kind, {}):
-            return web.json_response(self.objects[kind][name], status=409)
+            return self._respond(self.objects[kind][name], status=409)
         await self.put(kind, name, body["spec"])
-        return web.json_response(self.objects[kind][name])
+        return self._respond(self.objects[kind][name])
 
     async def _replace(self, request: web.Request) -> web.Response:
         item = self._find_object(request)
@@ -305,10 +330,10 @@
         body = await request.json()
         expected = body["meta"].get("revision")
         if expected is not None and expected != item["meta"]["revision"]:
-            return web.json_response(item, status=409)
+            return self._respond(item, status=409)
         kind, name = request.match_info["kind"], request.match_info["name"]
         await self.put(kind, name, body["spec"])
-        return web.json_response(self.objects[kind][name])
+        return self._respond(self.objects[kind][name])
 
     async def _delete(self, request: web.Request) -> web.Response:
         if self._find_object(request) is None:
