Numbers, names and addresses are refused where they enter if out of range

Callers saw: a node that ended again and again, or state that no longer spread. A configuration of version 10**30 was adopted; the next heartbeat could not be encoded (msgpack carries 64 bits), the error left the timers' task and ended the process, which read the same configuration after its restart. With 10**30 slots in a server's entry the same held for the answer to a peer that asked for newer state: it got neither the server list nor the fleet state. Ports 0 and 99,999,999, digits of other scripts, hosts of 70,000 characters and names with line ends were used as they came.

Cause: the border checked types only; ranges were left to whoever used the value.

Evidence, before the fix:

FAILED platform/borders_test.py::test_server_entry_with_one_wrong_field_is_decoded_ or_rejected, ::test_server_with_an_odd_id_is_decoded_or_rejected, ::test_inventory_ object_with_a_wrong_field_is_decoded_or_rejected | OverflowError: can't serialize ints < -2**63 or > 2**64 - 1 | UnicodeEncodeError: 'utf-8' codec can't encode character '\ud800' in position 0 | AssertionError: assert < (10 ** 10) FAILED inventory/parser_test.py::test_number_or_address_out_of_range_is_a_located_ error[127.0.0.1:3301-127.0.0.1:\u0663] and four more: DID NOT RAISE InventoryError

Why this works: the models of the border state ranges (msgspec and pydantic), so that whatever is decoded can be encoded again and used; ports are 1 to 65535 in ASCII digits. The property tests draw nested, huge and odd-digit values, and encode what was decoded as a message to a peer.

The inventory of the other application (INI) had the same cause and is fixed with it. A configuration is still accepted or refused as a whole; the one in force stays.

--- a/pollencleat/inventory/parser.py
+++ b/pollencleat/inventory/parser.py
@@ -58,7 +58,12 @@
 
 
 Names = Annotated[tuple[str, ...], pydantic.BeforeValidator(_split_names)]
-PositiveInt = Annotated[int, pydantic.Field(ge=1)]
+
+MAX_NUMBER = (1 << 31) - 1
+MAX_HOST_CHARACTERS = 253
+"""Longest name that DNS allows."""
+
+PositiveInt = Annotated[int, pydantic.Field(ge=1, le=MAX_NUMBER)]
 
 
 @section_kind("failure-domain")
@@ -89,7 +94,10 @@
     """A backend server."""
 
     group: str
-    address: Annotated[str, pydantic.Field(pattern=r"^[^:\s]+:\d{1,5}$")]
+    address: Annotated[
+        str,
+        pydantic.Field(pattern=rf"^[^:\s]{{1,{MAX_HOST_CHARACTERS}}}:[0-9]{{1,5}}$"),
+    ]
     failure_domain: str
     slots: PositiveInt
     connections: PositiveInt
@@ -99,7 +107,7 @@
 class ReadSection(IniSection):
     """Age limit and maximum wait of one kind of read."""
 
-    max_age_ms: Annotated[int, pydantic.Field(ge=0)]
+    max_age_ms: Annotated[int, pydantic.Field(ge=0, le=MAX_NUMBER)]
     wait_ms: Annotated[int, pydantic.Field(ge=0, le=5_000)] = 60
 
 
--- a/pollencleat/inventory/parser_test.py
+++ b/pollencleat/inventory/parser_test.py
@@ -75,6 +75,26 @@
     }
 
 
+@pytest.mark.parametrize(
+    ("good", "odd"),
+    [
+        ("127.0.0.1:3301", "127.0.0.1:٣"),
+        ("127.0.0.1:3301", "127.0.0.1:0"),
+        ("127.0.0.1:3301", "127.0.0.1:65536"),
+        ("127.0.0.1:3301", f"{'a' * 70_000}:3301"),
+        ("slots = 5", f"slots = {10**30}"),
+        ("connections = 35", f"connections = {10**30}"),
+        ("max-age-ms = 1000", f"max-age-ms = {10**30}"),
+        ("seats = 4", f"seats = {10**30}"),
+        ("seats = 4", f"seats = {'9' * 5_000}"),
+    ],
+)
+def test_number_or_address_out_of_range_is_a_located_error(good, odd):
+    """An inventory with a larger number fits into no message to a peer."""
+    with pytest.raises(InventoryError):
+        parse_inventory("i", GOOD.replace(good, odd))
+
+
 def test_forecast_counts_connections_and_excesses_are_found():
     inventory = parse_inventory("i", GOOD)
     forecast = make_forecast(inventory)
--- a/pollencleat/platform/borders_test.py
+++ b/pollencleat/platform/borders_test.py
@@ -8,12 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollencleat.core.data import VmList
 from pollencleat.core.errors import (
     BackendError,
     MalformedStatementError,
     StoreError,
 )
-from pollencleat.core.messages import decode_message
+from pollencleat.core.messages import State, decode_message, encode_message
 from pollencleat.platform.objects import (
     ObjectEvent,
     ObjectMeta,
@@ -48,6 +49,52 @@
     ),
     max_leaves=8,
 )
+HUGE = st.sampled_from(
+    [2**31, 2**53, 2**63 - 1, 2**63, 2**64, 10**30, -1, -(2**63) - 1, 10**400, 1e308]
+)
+ODD_TEXTS = st.sampled_from(
+    [
+        "²",
+        "٣",
+        "",
+        " ",
+        "a b",
+        "a\nb",
+        "a\n",
+        "\x00",
+        "\ud800",
+        "x" * 300,
+        "é",
+        "10.0.0.1:0",
+        "10.0.0.1:²",
+        "10.0.0.1:٣",
+        "10.0.0.1:65535",
+        "10.0.0.1:65536",
+        "10.0.0.1:99999999",
+        "10.0.0.1:-1",
+        "10.0.0.1:+1",
+        "10.0.0.1:1_0",
+        "10.0.0.1: 1",
+        "10.0.0.1:1\n",
+        "10.0.0.1:" + "9" * 5_000,
+        "a" * 70_000 + ":80",
+        "a\0b:80",
+        "a b:80",
+        ":80",
+    ]
+)
+ODD_VALUES = JSON | HUGE | ODD_TEXTS
+ROUTE = {
+    "host": "main",
+    "kind": "primary",
+    "service": "g",
+    "timeout_ms": 1_000,
+    "target_latency_ms": 400,
+    "priority": 1,
+    "max_staleness_ms": 0,
+}
+SERVICE = {"name": "g", "connection_limit": 20, "sync_replica_count": 1}
+LIMITS = {"transaction_idle_ms": 800}
 VERBS = ("QUERY", "BEGIN", "READ", "WRITE", "COMMIT", "SET", "PREPARE", "EXECUTE")
 LINES = st.lists(
     st.sampled_from(
@@ -68,11 +115,58 @@
         decode_server(make_object(value))
 
 
-@given(st.sampled_from(sorted(ENTRY)), JSON)
+@given(st.sampled_from(sorted(ENTRY)), ODD_VALUES)
 def test_server_entry_with_one_wrong_field_is_decoded_or_rejected(field, value):
     with contextlib.suppress(StoreError):
         server, _ = decode_server(make_object({**ENTRY, field: value}))
         assert 0 < server.port < 65_536
+        assert 0 < len(server.host) <= 253 and server.host.isascii()
+        assert 0 <= server.slots <= 100_000
+        assert 0 <= server.born_ms < 2**63
+        for name in (server.group_id, server.failure_domain, server.server_id):
+            assert 0 < len(name) <= 255 and not set(name) & set(" \0\r\n")
+        vms = VmList(1, None, (), {server.server_id: server})
+        decode_message(encode_message(State("n", None, None, vms)))
+
+
+@given(ODD_TEXTS | st.text(max_size=300))
+def test_server_with_an_odd_id_is_decoded_or_rejected(name):
+    """The id is a field of the line that starts a session at the server."""
+    with contextlib.suppress(StoreError):
+        decode_server(StoredObject(ObjectMeta(name, 1), ENTRY, None))
+        assert 0 < len(name) <= 255 and not set(name) & set(" \0\r\n")
+
+
+@given(
+    st.sampled_from(sorted(ROUTE)),
+    ODD_VALUES,
+    st.sampled_from(sorted(SERVICE)),
+    ODD_VALUES,
+    ODD_VALUES,
+    ODD_VALUES,
+    st.integers(0, 4),
+)
+def test_inventory_object_with_a_wrong_field_is_decoded_or_rejected(
+    route_field, route_value, service_field, service_value, idle_ms, version, which
+):
+    route = {**ROUTE, route_field: route_value} if which == 0 else ROUTE
+    service = {**SERVICE, service_field: service_value} if which == 1 else SERVICE
+    limits = {"transaction_idle_ms": idle_ms} if which == 2 else LIMITS
+    spec = {
+        "version": version if which == 3 else 7,
+        "routes": [route],
+        "services": [service],
+        "limits": limits,
+    }
+    with contextlib.suppress(StoreError):
+        inventory = decode_inventory(spec)
+        assert 0 <= inventory.version < 2**63
+        assert 0 <= inventory.rules.transaction_idle_ms < 10**10
+        for known in inventory.routes_by_database.values():
+            for limit_ms in (known.max_age_ms, known.statement_limit_ms):
+                assert 0 <= limit_ms < 10**10
+        assert all(0 <= n < 10**7 for n in inventory.connections_by_group.values())
+        decode_message(encode_message(State("n", None, inventory, None)))
 
 
 @given(JSON)
--- a/pollencleat/platform/records.py
+++ b/pollencleat/platform/records.py
@@ -1,5 +1,7 @@
 """Decodes the objects that operators and servers write into the store."""
 
+from typing import Annotated
+
 import msgspec
 
 from pollencleat.core.data import (
@@ -24,6 +26,25 @@
 DEFAULT_CONNECTIONS = 20
 """Connections to a server whose group declares no limit."""
 
+MAX_NAME_CHARACTERS = 255
+MAX_NUMBER = (1 << 63) - 1
+"""Largest number that a message between nodes can carry in any field."""
+
+MAX_DURATION_MS = (1 << 31) - 1
+MAX_PRIORITY = 1_000_000
+MAX_SLOTS = 100_000
+MAX_CONNECTIONS = 1_000_000
+MAX_REPLICAS = 1_000
+
+Name = Annotated[
+    str,
+    msgspec.Meta(max_length=MAX_NAME_CHARACTERS, pattern=r"\A[^\x00-\x20\x7f]+\Z"),
+]
+"""Text that is one field of a line: not empty, no blank, no control character."""
+
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+
 _freshness_by_kind = {
     "primary": Freshness.PRIMARY,
     "bounded_staleness": Freshness.BOUNDED_AGE,
@@ -32,43 +53,45 @@
 
 
 class _Route(msgspec.Struct, frozen=True):
-    host: str
+    host: Name
     """The database name that callers connect to, not an address."""
-    kind: str
-    service: str
-    timeout_ms: int
-    target_latency_ms: int
-    priority: int = 0
-    max_staleness_ms: int = 0
+    kind: Name
+    service: Name
+    timeout_ms: DurationMs
+    target_latency_ms: DurationMs
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_PRIORITY, le=MAX_PRIORITY)] = 0
+    max_staleness_ms: DurationMs = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
-    name: str
-    connection_limit: int = DEFAULT_CONNECTIONS
-    sync_replica_count: int = 0
+    name: Name
+    connection_limit: Annotated[int, msgspec.Meta(ge=0, le=MAX_CONNECTIONS)] = (
+        DEFAULT_CONNECTIONS
+    )
+    sync_replica_count: Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLICAS)] = 0
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    transaction_idle_ms: int = 0
+    transaction_idle_ms: DurationMs = 0
 
 
 class _DesiredState(msgspec.Struct, frozen=True):
-    version: int
+    version: Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
 
 
 class _ServerEntry(msgspec.Struct, frozen=True):
-    service: str
+    service: Name
     address: str
-    zone: str
-    slots: int
-    state: str
-    sequence: int
+    zone: Name
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    state: Name
+    sequence: Number
     """Counts the entries written in one run of the server; not a log position."""
-    database_role: str
-    born: int = 0
+    database_role: Name
+    born: Number = 0
     """Start of the server in Unix milliseconds; a changed value means an empty log."""
     cold_remaining_ms: float = 0
 
@@ -138,6 +161,7 @@
     """
     content = stored.status if stored.status is not None else stored.spec
     try:
+        msgspec.convert(stored.meta.name, Name)
         entry = msgspec.convert(content, _ServerEntry)
         endpoint = parse_endpoint(entry.address)
     except (msgspec.ValidationError, ValueError) as error:
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads and validates the settings file that the platform provides."""
 
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -10,6 +11,13 @@
 SETTINGS_VARIABLE = "POLLENCLEAT_BOOT"
 """Environment variable with the path of the settings file."""
 
+MAX_PORT = 65_535
+MAX_HOST_CHARACTERS = 253
+"""Longest name that DNS allows."""
+
+_HOST = re.compile(rf"[0-9A-Za-z._:%\[\]-]{{1,{MAX_HOST_CHARACTERS}}}")
+_PORT = re.compile(r"[0-9]{1,5}")
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -148,9 +156,11 @@
         The endpoint.
 
     Raises:
-        ValueError: The text has another form.
+        ValueError: The text has another form, or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"expected host:port, got {text!r}")
+    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port):
+        raise ValueError(f"expected host:port, got {text[:MAX_HOST_CHARACTERS]!r}")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
     return Endpoint(host, int(port))
