An address that no connection can use raises the typed error of its border

Callers saw: requests that ended without an answer at servers with such an entry, and probes that never ended. asyncio raises OverflowError for a port above 65535, UnicodeError for a host name that IDNA cannot encode, and ValueError for one with a null character; uvloop others. Only OSError was made a BackendError, so the probe's task ended without recording the end of its request and the statement's error reached the session as an unexpected one.

Why this works: the three errors are named once, and every place that opens a connection by an address from outside makes them its typed error, on both event loops: servers of both protocols and the HTTP client.

--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -17,6 +17,7 @@
     BackendRefusedError,
     FailedError,
 )
+from pollencleat.core.sockets import CONNECT_ERRORS
 
 CONNECT_TIMEOUT_S = 2
 OK_HEADER = 0x00
@@ -355,7 +356,7 @@
     )
     try:
         await connection.connect()
-    except (asyncmy.errors.MySQLError, OSError) as error:
+    except (asyncmy.errors.MySQLError, *CONNECT_ERRORS) as error:
         connection.close()
         if "refused" in str(error) or "111" in str(error.args[:1]):
             raise BackendRefusedError(str(error)) from error
--- a/pollencleat/core/sockets.py
+++ b/pollencleat/core/sockets.py
@@ -8,6 +8,10 @@
 """Milliseconds after which unacknowledged data closes a connection; without it, a
 network partition would keep a connection open for minutes."""
 
+CONNECT_ERRORS = (OSError, ValueError, OverflowError)
+"""What opening a connection raises; the last two if no host or port is like the one
+that was given, which depends on the event loop."""
+
 KEEPALIVE_INTERVAL_S = 1
 """Idle seconds before the first keep-alive probe, and seconds between two probes."""
 
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -11,7 +11,11 @@
     BackendRefusedError,
     MalformedStatementError,
 )
-from pollencleat.core.sockets import configure_socket, write_bytes
+from pollencleat.core.sockets import (
+    CONNECT_ERRORS,
+    configure_socket,
+    write_bytes,
+)
 from pollencleat.engine.statements import (
     Begin,
     Commit,
@@ -268,7 +272,7 @@
         )
     except ConnectionRefusedError as error:
         raise BackendRefusedError(str(error)) from error
-    except OSError as error:
+    except CONNECT_ERRORS as error:
         raise BackendError(str(error)) from error
     configure_socket(writer)
     connection = ServerConnection(reader, writer)
--- a/pollencleat/web/client.py
+++ b/pollencleat/web/client.py
@@ -11,7 +11,7 @@
 import httptools
 
 from pollencleat.core.errors import PollencleatError
-from pollencleat.core.sockets import configure_socket
+from pollencleat.core.sockets import CONNECT_ERRORS, configure_socket
 
 IDLE_CONNECTION_TIMEOUT_S = 30.0
 """Seconds after which an unused connection is no longer reused."""
@@ -93,7 +93,7 @@
         self._is_answer_started = True
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(HttpError(f"malformed response: {error}"))
             self.close()
             return
@@ -165,7 +165,10 @@
         Raises:
             HttpError: No complete response arrived in time.
         """
-        message = self._encode(method, path, body, headers or {})
+        try:
+            message = self._encode(method, path, body, headers or {})
+        except UnicodeEncodeError as error:
+            raise HttpError(f"not a header: {error}") from error
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._send(method, message)
@@ -187,9 +190,12 @@
 
     async def _open(self) -> _Connection:
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(
-            _Connection, self._host, self._port
-        )
+        try:
+            _, connection = await loop.create_connection(
+                _Connection, self._host, self._port
+            )
+        except CONNECT_ERRORS as error:
+            raise HttpError(str(error) or type(error).__name__) from error
         return connection
 
     async def _exchange(self, connection: _Connection, message: bytes) -> HttpResponse:
