One message that cannot be sent ends no process

Callers saw: machines that ended again and again. A member in the fleet state whose address or key libzmq rejects ended the controllers of every node within 0.6 s: the error left the function that sends messages after each run of the timers, which unlike the timers' callbacks was not guarded at all. The process ends, reads the same state after its restart and ends again. A configuration of version 10**30 did the same through the encoding of heartbeats, with the first heartbeat after it.

Why this works: an address or a key that cannot be used is refused where the connection is opened, logged once (peer address refused), and the message is dropped like any other message to an unreachable member, which is then removed in the usual time; the socket of the attempt is closed. Only tcp addresses are connected to. Any other error while a message is sent is recorded and the next message goes on, and the function after each run has the same guard as a callback: it ends the process only after 20 failures in a row.

--- a/pollencleat/core/timers.py
+++ b/pollencleat/core/timers.py
@@ -19,6 +19,9 @@
 """Shortest sleep in seconds; callbacks due within it run together, which saves
 wakeups."""
 
+AFTER_RUN_ID = -1
+"""Stands for the function that is called after each run, among the subscriptions."""
+
 
 def read_boottime_s() -> float:
     """Return the seconds since boot, including time in suspension.
@@ -91,9 +94,10 @@
         """Run callbacks until cancelled.
 
         Args:
-            after_run: Called after each run.
+            after_run: Called after each run; its errors are treated like those of a
+                callback.
         """
         while True:
             delay_s = self.run_due()
-            after_run()
+            self._call(AFTER_RUN_ID, after_run)
             await asyncio.sleep(min(max(delay_s, MIN_SLEEP_S), MAX_SLEEP_S))
--- a/pollencleat/core/timers_test.py
+++ b/pollencleat/core/timers_test.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from pollencleat.core.faults import MAX_CONSECUTIVE_FAILURES, ErrorRecorder
@@ -48,6 +50,34 @@
         run(service, clock, MAX_CONSECUTIVE_FAILURES + 1)
 
 
+async def test_error_after_a_run_does_not_end_the_timers():
+    """One message that could not be encoded ended the whole process."""
+    counted = []
+    service, _, calls = make_service(ErrorRecorder(counted.append))
+    runs = []
+
+    def fail_at_first():
+        runs.append(len(runs))
+        if len(runs) < 3:
+            raise OverflowError("can't serialize")
+        if len(runs) == 5:
+            raise asyncio.CancelledError
+
+    with pytest.raises(asyncio.CancelledError):
+        await service.run_forever(fail_at_first)
+    assert len(runs) == 5 and calls
+
+
+async def test_error_after_each_run_is_raised_in_the_end():
+    service, _, _ = make_service(ErrorRecorder())
+
+    def fail():
+        raise OverflowError("can't serialize")
+
+    with pytest.raises((OverflowError, KeyError)):
+        await service.run_forever(fail)
+
+
 def test_error_is_raised_without_fault_log():
     service, clock, _ = make_service(None)
     with pytest.raises(KeyError):
--- a/pollencleat/daemon/runtime.py
+++ b/pollencleat/daemon/runtime.py
@@ -140,9 +140,11 @@
                 self.effects.run(effect)
         envelopes, board.outbox = board.outbox, []
         for envelope in envelopes:
-            address, key = self._find_address_and_key(envelope.to_node)
-            if address:
-                self.transport.send(address, envelope.message, key)
+            try:
+                self.send_to(envelope.to_node, envelope.message)
+            except Exception as error:
+                # One message that cannot be sent must not hold up the others.
+                self.faults.record(f"sending {type(envelope.message).__name__}", error)
 
     def _find_address_and_key(self, node_id: str) -> tuple[str, str]:
         member = self.board.fleet.members_by_id.get(node_id)
--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import structlog
 import zmq
 import zmq.asyncio
 import zmq.auth
@@ -28,6 +29,12 @@
 SEND_QUEUE_MESSAGES = 256
 """Messages queued per peer; further messages are dropped."""
 
+ADDRESS_PREFIX = "tcp://"
+MAX_REFUSED = 1_000
+"""Addresses and keys that are remembered as unusable, so that each is logged once."""
+
+MAX_REASON_CHARACTERS = 200
+
 IDLE_TIMEOUT_S = 30.0
 """Time without a sent message after which a connection is closed."""
 
@@ -61,6 +68,9 @@
 """Interval of ZeroMQ heartbeats, which detect dead connections."""
 
 
+log = structlog.get_logger()
+
+
 @dataclass(frozen=True, slots=True)
 class CurveKeys:
     """A CURVE key pair, each key as Z85 text in bytes."""
@@ -213,6 +223,7 @@
         self._authenticator: RetryingAuthenticator | None = None
         self._listener: zmq.asyncio.Socket | None = None
         self._outgoing_by_address: dict[str, _OutgoingConnection] = {}
+        self._refused: set[tuple[str, bytes]] = set()
         self._task: asyncio.Task | None = None
         self._encoded_message: PeerMessage | None = None
         self._encoded_payload = b""
@@ -274,10 +285,6 @@
         except msgspec.MsgspecError:
             self._on_malformed()
             return
-        except Exception as error:
-            self._on_malformed()
-            self._faults.record("decoding a message", error)
-            return
         try:
             self._on_message(message)
         except Exception as error:
@@ -293,15 +300,21 @@
             key: The peer's Z85 public key; empty if the deployment shares one key pair.
 
         Returns:
-            False if the message was dropped.
+            False if the message was dropped, or if the address or the key cannot be
+            used.
         """
         server_key = key.encode() or self._keys.public
         outgoing = self._outgoing_by_address.get(address)
         if outgoing is not None and outgoing.server_key != server_key:
             outgoing.socket.close()
+            del self._outgoing_by_address[address]
             outgoing = None
         if outgoing is None:
-            outgoing = self._connect(address, server_key)
+            try:
+                outgoing = self._connect(address, server_key)
+            except (zmq.ZMQError, ValueError) as error:
+                self._refuse(address, server_key, str(error))
+                return False
         outgoing.used_at_s = self._clock()
         if message is not self._encoded_message:
             # Reuse the encoding: the same message is often sent to many peers in a row.
@@ -318,9 +331,41 @@
         self.messages_sent += 1
         return True
 
+    def _refuse(self, address: str, server_key: bytes, reason: str) -> None:
+        """Log an address or key of a member that cannot be used, once."""
+        if (address, server_key) in self._refused:
+            return
+        if len(self._refused) >= MAX_REFUSED:
+            self._refused.clear()
+        self._refused.add((address, server_key))
+        log.warning(
+            "peer address refused",
+            address=address[:MAX_REASON_CHARACTERS],
+            reason=reason[:MAX_REASON_CHARACTERS],
+        )
+
     def _connect(self, address: str, server_key: bytes) -> _OutgoingConnection:
+        """Open a connection.
+
+        Raises:
+            zmq.ZMQError: libzmq accepts no such address or key.
+            ValueError: The address is of another transport, or no text.
+        """
+        if not address.startswith(ADDRESS_PREFIX):
+            raise ValueError(f"expected {ADDRESS_PREFIX}HOST:PORT")
         socket = zmq.Context(self._context).socket(zmq.PUSH)
         socket.linger = 0
+        try:
+            self._configure_outgoing(socket, server_key)
+            socket.connect(address)
+        except BaseException:
+            socket.close()
+            raise
+        outgoing = _OutgoingConnection(socket, server_key, self._clock())
+        self._outgoing_by_address[address] = outgoing
+        return outgoing
+
+    def _configure_outgoing(self, socket: zmq.Socket, server_key: bytes) -> None:
         socket.curve_publickey = self._keys.public
         socket.curve_secretkey = self._keys.secret
         socket.curve_serverkey = server_key
@@ -330,10 +375,6 @@
         socket.setsockopt(zmq.HANDSHAKE_IVL, CONNECT_HANDSHAKE_TIMEOUT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL, 100)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
-        socket.connect(address)
-        outgoing = _OutgoingConnection(socket, server_key, self._clock())
-        self._outgoing_by_address[address] = outgoing
-        return outgoing
 
     def close_unused(self) -> None:
         """Close connections on which nothing was sent for IDLE_TIMEOUT_S."""
--- a/pollencleat/peers/transport_test.py
+++ b/pollencleat/peers/transport_test.py
@@ -81,6 +81,49 @@
         receiver.close()
 
 
+ODD_ADDRESSES = [
+    "nonsense",
+    "",
+    "tcp://127.0.0.1:٣",
+    "tcp://127.0.0.1:x",
+    "tcp://a\0b:1",
+    "tcp://*:1",
+    "tcp://host name:5",
+    "tcp://-1:5",
+    "udp://127.0.0.1:5",
+    "inproc://zeromq.zap.01",
+    "ipc:///tmp/pollencleat",
+    "tcp://\ud800:1",
+]
+ODD_KEYS = ["short", "é" * 40, "~" * 40, " " * 40, "a" * 70_000]
+
+
+async def test_unusable_address_or_key_of_a_member_holds_up_no_other():
+    """An address or key that libzmq rejects raised an error out of the timers, 20 of
+    which in a row end the process; each attempt left a socket behind."""
+    keys = make_curve_keys()
+    received_ids = []
+    receiver = PeerTransport(
+        keys, lambda m: received_ids.append(m.server_id), read_boottime_s, lambda: None
+    )
+    sender = PeerTransport(keys, lambda m: None, read_boottime_s, lambda: None)
+    address = receiver.start("tcp://127.0.0.1:0")
+    key = keys.public.decode()
+    try:
+        for _ in range(3):
+            for odd in ODD_ADDRESSES:
+                assert not sender.send(odd, SightingRequest("n", "x"), key)
+            for odd in ODD_KEYS:
+                assert not sender.send(address, SightingRequest("n", "x"), odd)
+        assert not sender._outgoing_by_address
+        await send_until_received(sender, address, received_ids, "first")
+        assert not sender.send(address, SightingRequest("n", "x"), "short")
+        await send_until_received(sender, address, received_ids, "second")
+    finally:
+        sender.close()
+        receiver.close()
+
+
 async def test_error_in_key_lookup_does_not_block_other_connections():
     """An unexpected error in one authentication request ended the task that answers
     all of them."""
