A fleet state or peer message that no node can use is refused at its border

Callers saw: see below for each. The content of the fleet object was decompressed without bound (200 MB from 200 kB, at each read, several times a second), and reads were refused meanwhile. A member or group under the key of another, or a term to which nothing can be added, was adopted, and then failed the timers of all nodes. A nested field raised RecursionError, with a traceback at each read. Heartbeats with infinite or undefined numbers of seconds were used: a promise at such a time never expires.

Cause: the decoders check types only, and each message or state was taken as consistent because nodes write it.

Why this works: one bounded decompression for both borders, one check of a fleet state for both, and models that accept finite seconds only. While the object is unreadable, nodes go on with the state they know, as if the platform did not answer: reads go on, and writes until the outage limit. That is logged once (platform lost, with the reason), not at each read.

What remains: a node that starts meanwhile cannot join, and no node replaces the object by itself, since a change by another node may be hidden behind it.

--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -9,7 +9,10 @@
 import enum
 from dataclasses import dataclass, field, replace
 
-from pollencleat.core.versions import era_of
+from pollencleat.core.versions import MAX_ERA, era_of
+
+MAX_FLEET_NUMBER = 1 << 62
+"""Largest number in a fleet state; the next one still fits into a message."""
 
 
 class Outcome(enum.StrEnum):
@@ -420,3 +423,46 @@
         for group_id, group in inventory.groups_by_id.items()
     }
     return replace(inventory, servers_by_id=servers_by_id, groups_by_id=groups_by_id)
+
+
+def find_fleet_problem(fleet: Fleet) -> str:
+    """Find out why a fleet state from outside cannot be used.
+
+    Args:
+        fleet: A state whose fields have the right types.
+
+    Returns:
+        What is wrong; empty if all entries have the keys of their objects and all
+        numbers are in range.
+    """
+    keys = (
+        *((key, member.node_id) for key, member in fleet.members_by_id.items()),
+        *(
+            (key, entry.incarnation)
+            for key, entry in fleet.removed_by_incarnation.items()
+        ),
+        *((key, term.group_id) for key, term in fleet.terms_by_group.items()),
+    )
+    for key, name in keys:
+        if key != name or not name:
+            return f"entry {name[:80]!r} under the key {key[:80]!r}"
+    if not 0 <= fleet.era <= MAX_ERA:
+        return f"era {fleet.era} is out of range"
+    for number in _list_numbers(fleet):
+        if not -1 <= number <= MAX_FLEET_NUMBER:
+            return f"number {number} is out of range"
+    return ""
+
+
+def _list_numbers(fleet: Fleet) -> list[int]:
+    numbers = [fleet.seats, fleet.next_term]
+    numbers.extend(member.seat for member in fleet.members_by_id.values())
+    numbers.extend(m.joined_in_era for m in fleet.members_by_id.values())
+    numbers.extend(
+        entry.removed_version for entry in fleet.removed_by_incarnation.values()
+    )
+    for term in fleet.terms_by_group.values():
+        numbers.extend((term.term, term.assigned_log_term))
+        for start in term.history:
+            numbers.extend((start.term, start.start_position))
+    return numbers
--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -7,10 +7,22 @@
 
 import zlib
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
-from pollencleat.core.data import Fleet, Inventory, Position, VmList
+from pollencleat.core.compression import decompress
+from pollencleat.core.data import (
+    Fleet,
+    Inventory,
+    Position,
+    VmList,
+    find_fleet_problem,
+)
+
+MAX_SECONDS = 1e12
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+"""A finite clock value or duration."""
 
 
 class Versions(msgspec.Struct, frozen=True, array_like=True):
@@ -31,7 +43,7 @@
 
     failure_domain: str
     members_key: int
-    age_s: float
+    age_s: Seconds
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
@@ -53,11 +65,11 @@
 
     node_id: str
     incarnation: str
-    sent_at_s: float
-    echo_s: float | None
+    sent_at_s: Seconds
+    echo_s: Seconds | None
     echo_incarnation: str
     versions: Versions
-    fresh_age_s: float | None
+    fresh_age_s: Seconds | None
     promising: bool
     domain_promises: tuple[DomainPromise, ...]
     reply: bool
@@ -88,7 +100,7 @@
     """
 
     position: Position
-    age_s: float
+    age_s: Seconds
 
 
 class StopWrites(msgspec.Struct, frozen=True, array_like=True, tag="stop_writes"):
@@ -145,7 +157,7 @@
 
     node_id: str
     server_id: str
-    age_s: float | None
+    age_s: Seconds | None
     refused: bool
 
 
@@ -169,7 +181,7 @@
     lease_id: int
     server_id: str
     account: str
-    wait_s: float
+    wait_s: Seconds
     term: int
     needs_lead: bool
     values: dict[str, str]
@@ -200,7 +212,7 @@
     """
 
     lease: LeaseRequest
-    limit_s: float
+    limit_s: Seconds
     call: bytes
 
 
@@ -384,24 +396,19 @@
     Raises:
         msgspec.DecodeError: The bytes are not a valid message.
     """
-    if payload[:1] == COMPRESSED_PREFIX:
-        payload = _decompress(payload)
-    return _decoder.decode(payload)
-
-
-def _decompress(payload: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
     try:
-        decompressed = decompressor.decompress(payload[1:], MAX_MESSAGE_BYTES)
-    except zlib.error as error:
-        raise msgspec.DecodeError(
-            f"invalid zlib data in compressed message: {error}"
-        ) from error
-    if not decompressor.eof:
-        raise msgspec.DecodeError(
-            "compressed message is truncated or larger than allowed"
-        )
-    return decompressed
+        if payload[:1] == COMPRESSED_PREFIX:
+            payload = decompress(payload[1:], MAX_MESSAGE_BYTES)
+        message = _decoder.decode(payload)
+    except msgspec.MsgspecError:
+        raise
+    except (ValueError, RecursionError) as error:
+        raise msgspec.DecodeError(f"malformed message: {error}") from error
+    if isinstance(message, State | StopWrites) and message.fleet is not None:
+        problem = find_fleet_problem(message.fleet)
+        if problem:
+            raise msgspec.DecodeError(f"malformed fleet state: {problem}")
+    return message
 
 
 @dataclass(frozen=True, slots=True)
--- a/pollencleat/core/messages_test.py
+++ b/pollencleat/core/messages_test.py
@@ -86,3 +86,29 @@
 def test_wrong_field_type_is_rejected():
     with pytest.raises(msgspec.ValidationError):
         decode_message(msgspec.msgpack.encode(["beat", 1]))
+
+
+@pytest.mark.parametrize("odd", [float("inf"), float("-inf"), float("nan")])
+@pytest.mark.parametrize("field", [2, 3, 6])
+def test_number_of_seconds_that_is_not_finite_is_rejected(odd, field):
+    """A promise or a platform read at such a time would never expire."""
+    beat = Beat("n", "i", 1.0, 1.0, "i", Versions(1, 2, 3), 1.0, True, (), False)
+    values = msgspec.msgpack.decode(encode_message(beat))
+    values[field + 1] = odd
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(msgspec.msgpack.encode(values))
+
+
+def test_deeply_nested_message_is_rejected():
+    beat = Beat("n", "i", 1.0, 1.0, "i", Versions(1, 2, 3), 1.0, True, (), False)
+    payload = bytearray(encode_message(beat))
+    payload[0] += 1
+    nested = b"\x91" * 100_000 + b"\xc0"
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(bytes(payload) + nested)
+
+
+def test_fleet_state_with_an_entry_under_a_wrong_key_is_rejected():
+    member = Member("n", "i", "a", "tcp://x:1", "", 0, True)
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(encode_message(State("n", Fleet(3, {"m": member}), None, None)))
--- a/pollencleat/daemon/adapters.py
+++ b/pollencleat/daemon/adapters.py
@@ -25,7 +25,7 @@
     BackendError,
     PollencleatError,
     StoreConflictError,
-    StoreUnavailableError,
+    StoreError,
 )
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.ports import PlatformStore, ServerOrders
@@ -145,7 +145,7 @@
         sent_at_s = self._clock()
         try:
             await self._read_objects()
-        except StoreUnavailableError as error:
+        except StoreError as error:
             # The failure is outdated if the platform has answered a later read.
             if sent_at_s >= self._last_answered_sent_at_s:
                 self._record_platform_read(False, str(error))
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -9,7 +9,14 @@
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import BackendServer, Fleet, Inventory, VmList
+from pollencleat.core.compression import decompress
+from pollencleat.core.data import (
+    BackendServer,
+    Fleet,
+    Inventory,
+    VmList,
+    find_fleet_problem,
+)
 from pollencleat.core.errors import StoreError
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.ports import PlatformState
@@ -28,6 +35,9 @@
 
 FLEET_KIND = "pollencleat"
 FLEET_NAME = "fleet"
+MAX_FLEET_BYTES = 4 * 1024 * 1024
+"""Largest fleet state, uncompressed."""
+
 INVENTORY_KIND = "config"
 INVENTORY_NAME = "main"
 SERVERS_KIND = "servers"
@@ -119,10 +129,14 @@
         StoreError: The content is malformed.
     """
     try:
-        content = zlib.decompress(msgspec.convert(spec, _PackedFleet).packed)
+        packed = msgspec.convert(spec, _PackedFleet).packed
+        content = decompress(packed, MAX_FLEET_BYTES)
         fleet = msgspec.msgpack.decode(content, type=Fleet)
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(f"malformed fleet state: {error}") from error
+    problem = find_fleet_problem(fleet)
+    if problem:
+        raise StoreError(f"malformed fleet state: {problem}")
     return dataclasses.replace(fleet, version=version)
 
 
--- a/pollencleat/platform/store_test.py
+++ b/pollencleat/platform/store_test.py
@@ -1,9 +1,15 @@
+import base64
+import tracemalloc
+import zlib
+from dataclasses import replace
+
+import msgspec
 import pytest
 
 from pollencleat.core.data import Fleet, GroupTerm, Member, TermStart
 from pollencleat.core.errors import StoreError
 from pollencleat.membership.fleet import with_member
-from pollencleat.platform.store import pack_fleet, unpack_fleet
+from pollencleat.platform.store import MAX_FLEET_BYTES, pack_fleet, unpack_fleet
 
 MAX_BYTES_OF_25_MEMBERS = 4_000
 """Size limit of the fleet object of 25 members with their keys, which are random; each
@@ -47,6 +53,45 @@
     assert len(pack_fleet(make_fleet(25))["packed"]) < MAX_BYTES_OF_25_MEMBERS
 
 
+def pack(content):
+    return {"packed": base64.b64encode(zlib.compress(content)).decode()}
+
+
+def encode(fleet):
+    return msgspec.msgpack.encode(fleet)
+
+
+MEMBER = next(iter(make_fleet(1).members_by_id.values()))
+ODD_CONTENTS = {
+    "large": b"\0" * (MAX_FLEET_BYTES + 1),
+    "nested": b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0",
+    "key of another member": encode(Fleet(members_by_id={"x": MEMBER})),
+    "key of another group": encode(Fleet(terms_by_group={"x": GroupTerm("g", 1, "s")})),
+    "term": encode(Fleet(terms_by_group={"g": GroupTerm("g", 2**63, "s")})),
+    "next term": encode(Fleet(next_term=2**64 - 1)),
+    "seat": encode(Fleet(members_by_id={"x": replace(MEMBER, node_id="x", seat=-9)})),
+    "era": encode(Fleet(era=2**40)),
+}
+
+
+@pytest.mark.parametrize("content", ODD_CONTENTS.values(), ids=ODD_CONTENTS)
+def test_content_that_no_node_can_use_is_rejected(content):
+    """A member under a wrong key or a term without a next one fails every timer."""
+    with pytest.raises(StoreError):
+        unpack_fleet(pack(content), 1)
+
+
+def test_content_that_grows_without_bound_takes_little_memory():
+    spec = pack(b"\0" * (1 << 28))
+    tracemalloc.start()
+    try:
+        with pytest.raises(StoreError, match="larger"):
+            unpack_fleet(spec, 1)
+        assert tracemalloc.get_traced_memory()[1] < 4 * MAX_FLEET_BYTES
+    finally:
+        tracemalloc.stop()
+
+
 @pytest.mark.parametrize("spec", [None, {}, {"packed": "AAAA"}, {"members_by_id": {}}])
 def test_malformed_content_is_rejected(spec):
     with pytest.raises(StoreError):
