--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -9,7 +9,14 @@
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import BackendServer, Fleet, Inventory, VmList
+from pollencleat.core.compression import decompress
+from pollencleat.core.data import (
+    BackendServer,
+    Fleet,
+    Inventory,
+    VmList,
+    find_fleet_problem,
+)
 from pollencleat.core.errors import StoreError
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.ports import PlatformState
@@ -21,11 +28,16 @@
     ObjectChanges,
     ObjectClient,
     ObjectList,
+    RefusedObjects,
+    StoredObject,
 )
 from pollencleat.platform.records import decode_inventory, decode_server
 
 FLEET_KIND = "pollencleat"
 FLEET_NAME = "fleet"
+MAX_FLEET_BYTES = 4 * 1024 * 1024
+"""Largest fleet state, uncompressed."""
+
 INVENTORY_KIND = "config"
 INVENTORY_NAME = "main"
 SERVERS_KIND = "servers"
@@ -117,10 +129,14 @@
         StoreError: The content is malformed.
     """
     try:
-        content = zlib.decompress(msgspec.convert(spec, _PackedFleet).packed)
+        packed = msgspec.convert(spec, _PackedFleet).packed
+        content = decompress(packed, MAX_FLEET_BYTES)
         fleet = msgspec.msgpack.decode(content, type=Fleet)
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (ValueError, RecursionError) as error:
         raise StoreError(f"malformed fleet state: {error}") from error
+    problem = find_fleet_problem(fleet)
+    if problem:
+        raise StoreError(f"malformed fleet state: {problem}")
     return dataclasses.replace(fleet, version=version)
 
 
@@ -145,24 +161,38 @@
     if declared is not None:
         inventory = decode_inventory(declared.spec)
     listed = await client.list_objects(SERVERS_KIND)
-    entries = _decode_servers(listed)
+    entries = _decode_servers(listed, client.refused)
     leaving = tuple(sorted(name for name in entries if entries[name][1]))
     servers_by_id = {name: server for name, (server, _) in entries.items()}
     vms = VmList(listed.version, None, leaving, servers_by_id)
     return PlatformState(fleet, inventory, vms)
 
 
-def _decode_servers(listed: ObjectList) -> dict[str, tuple[BackendServer, bool]]:
-    """Return server and leaving flag by server id; malformed entries are logged."""
+def _decode_servers(
+    listed: ObjectList, refused: RefusedObjects
+) -> dict[str, tuple[BackendServer, bool]]:
+    """Return server and leaving flag by server id, without malformed entries."""
     entries = {}
     for name, stored in listed.objects_by_name.items():
-        try:
-            entries[name] = decode_server(stored)
-        except StoreError as error:
-            log.info("server entry refused", server=name, reason=str(error))
+        entry = _decode_server(stored, refused)
+        if entry is not None:
+            entries[name] = entry
     return entries
 
 
+def _decode_server(
+    stored: StoredObject, refused: RefusedObjects
+) -> tuple[BackendServer, bool] | None:
+    name = stored.meta.name
+    try:
+        entry = decode_server(stored)
+    except StoreError as error:
+        refused.refuse(SERVERS_KIND, name, str(error))
+        return None
+    refused.accept(SERVERS_KIND, name)
+    return entry
+
+
 class StoreWatcher:
     """Tracks the objects of one kind: lists them, then watches for changes."""
 
@@ -257,8 +287,9 @@
         try:
             inventory = decode_inventory(spec)
         except StoreError as error:
-            log.warning("inventory refused", reason=str(error))
+            client.refused.refuse(INVENTORY_KIND, name, str(error))
             return
+        client.refused.accept(INVENTORY_KIND, name)
         if board.adopt_inventory(inventory):
             log.info("inventory adopted", version=inventory.version, source="store")
 
@@ -298,20 +329,19 @@
     """
 
     def on_list(listed: ObjectList) -> None:
-        directory.replace_all(_decode_servers(listed), listed.version)
+        entries = _decode_servers(listed, client.refused)
+        directory.replace_all(entries, listed.version)
 
     def on_changes(changes: ObjectChanges) -> None:
         for event in changes.events:
             name = event.object.meta.name
             if event.deleted:
+                client.refused.accept(SERVERS_KIND, name)
                 directory.remove(name, event.object.meta.revision)
                 continue
-            try:
-                server, leaving = decode_server(event.object)
-            except StoreError as error:
-                log.info("server entry refused", server=name, reason=str(error))
-                continue
-            directory.update(server, leaving, event.object.meta.revision)
+            entry = _decode_server(event.object, client.refused)
+            if entry is not None:
+                directory.update(*entry, event.object.meta.revision)
         directory.publish(changes.version)
 
     return StoreWatcher(
