Promotion: an old primary that answers again leads again if no other has its commits

What callers saw: a group without a primary until an operator steps in. Seen after the merge of the parts: a primary whose entry vanished is replaced as one that leaves. When it came back with its log, the others lacked an acknowledged commit and rightly waited, but the old primary was not a candidate in a planned change, so nothing could end the wait.

Why it works: if the best other server may lack commits and the old primary answers with a log that reaches all that the members have seen, it has every commit and leads again.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -451,6 +451,22 @@
     return seen is not None and log_end >= (seen.term, seen.position)
 
 
+def has_old_primary_final_log(attempt: Attempt) -> bool:
+    """Return whether the old primary answers and has every commit it acknowledged.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+
+    Returns:
+        True if it may lead again, for instance because its entry had only expired.
+    """
+    old_primary = attempt.promotion.old_primary
+    status = attempt.statuses_by_server.get(old_primary)
+    if status is None or has_lost_log(attempt, old_primary):
+        return False
+    return is_final_position_reliable(attempt, status)
+
+
 def is_final_position_reliable(attempt: Attempt, old_status: ServerStatus) -> bool:
     """Return whether the old primary's log still has all commits it acknowledged.
 
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -13,6 +13,7 @@
     Attempt,
     choose_server,
     has_every_acknowledged_commit,
+    has_old_primary_final_log,
     reaches_latest_term,
 )
 from pollencleat.promotion.suspicion import Suspicion
@@ -220,3 +221,14 @@
     log = log[: data.draw(st.integers(0, len(log)))]
     log_end = Position(log[-1] if log else 0, len(log))
     assert reaches_latest_term(history, log_end) == (log[: len(start)] == start)
+
+
+def test_old_primary_that_is_back_leads_again_if_no_other_has_its_commits():
+    """Regression: a change stayed without a primary that had only lost its entry."""
+    statuses = {"old": make_status(9), "r1": make_status(5), "r2": make_status(0)}
+    attempt = make_planned_attempt(statuses, (TermStart(3, 0),))
+    assert has_old_primary_final_log(attempt)
+    attempt.seen_by_incarnation = {"n-1": SeenPosition(Position(3, 10), 0.1)}
+    assert not has_old_primary_final_log(attempt)
+    attempt.statuses_by_server["old"] = None
+    assert not has_old_primary_final_log(attempt)
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -42,6 +42,7 @@
     find_acknowledgement_bound,
     format_log_end,
     has_every_acknowledged_commit,
+    has_old_primary_final_log,
     has_permit_expired,
     is_caught_up,
     is_current_promoter,
@@ -307,11 +308,16 @@
             return
         missing_logs = find_missing_logs(self.board, attempt)
         if not has_every_acknowledged_commit(attempt, group, chosen, missing_logs):
-            if can_waiting_help(self.board, attempt, group):
+            if has_old_primary_final_log(attempt):
+                chosen = attempt.promotion.old_primary
+            elif can_waiting_help(self.board, attempt, group):
                 reason = "may lack acknowledged commits"
                 self._log_choice(attempt, chosen, reason, missing_logs)
                 return
-            log.warning("commits may be lost", group=attempt.group_id, server=chosen)
+            else:
+                log.warning(
+                    "commits may be lost", group=attempt.group_id, server=chosen
+                )
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
             self._log_choice(attempt, chosen, "applies its log", missing_logs)
             if len(attempt.statuses_by_server) == len(server_ids):
