Detection: a leaving primary that crashes is lost, and its successor must answer now

What callers saw: nothing yet; found by the review of the fix. While a leaving primary waits for a successor, its crash did not count: the wait ended when its entry vanished, 3.6 s later. A primary that gets no more statements was kept although a server that leaves later could lead.

Evidence: four tests in promotion/controller_test.py failed before: no promotion within 5 s after the primary is unresponsive or refuses, one within 2 s on an old position, none for a primary past its limit.

Why it works: silence and refusals are looked at before the announcement; a successor must have answered within the last second; past the limit a server that leaves later qualifies.

--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -451,6 +451,7 @@
     term = GroupTerm("g", 2, "p", history=history)
     board.fleet = replace(board.fleet, terms_by_group={"g": term})
     board.vms = replace(board.vms, leaving=("p",))
+    board.tracks_all_requests = True
     return board
 
 
@@ -490,3 +491,51 @@
     board.inventory = replace(board.inventory, servers_by_id=servers)
     controller = PromotionController(board, 0.0)
     assert run(controller, board, steps(5.0, 7.0), True)
+
+
+def test_leaving_primary_that_crashes_is_lost():
+    """A leaving primary that does not answer must not wait for a successor that it can
+    no longer send its log to."""
+    board = make_board_with_leaving_primary()
+    board.server_view("r").applied = Position(1, 6)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+    board.server_view("p").record_request(7.0)
+    assert run(controller, board, steps(7.0, 12.0), True)
+
+
+def test_leaving_primary_that_refuses_connections_is_lost():
+    board = make_board_with_leaving_primary()
+    board.server_view("r").applied = Position(1, 6)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+    record_status_failure(board, "p", True, 7.0)
+    assert run(controller, board, steps(7.0, 12.0), True)
+
+
+def test_position_of_a_server_from_before_it_crashed_begins_no_planned_change():
+    """Regression (release-deaf2, seed 1, 46.16 s): a node that had asked the crashed
+    former primary nothing since the crash replaced the leaving primary by itself."""
+    board = make_board_with_leaving_primary()
+    view = board.server_view("r")
+    view.applied = Position(2, 8)
+    view.record_request(0.9)
+    view.record_request_ended(1.0, True)
+    board.vms = replace(board.vms, servers_by_id=board.inventory.servers_by_id)
+    controller = PromotionController(board, 0.0)
+    for now_s in steps(5.0, 7.0):
+        board.fleet_confirmed_at_s = now_s
+        controller.tick(now_s)
+    assert not [item for item in board.effects if isinstance(item, UpdateFleet)]
+
+
+def test_leaving_primary_past_its_limit_is_replaced_by_another_leaving_server():
+    """A primary that gets no more statements is of no use; one that leaves later is."""
+    board = make_board_with_leaving_primary()
+    board.leaving_limit_s = 6.0
+    board.leaving_since_by_server = {"p": 5.0, "r": 10.0}
+    board.vms = replace(board.vms, leaving=("p", "r"))
+    board.server_view("r").applied = Position(2, 8)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 10.0), True) == []
+    assert run(controller, board, steps(11.0, 14.0), True)
--- a/pollencleat/promotion/detection.py
+++ b/pollencleat/promotion/detection.py
@@ -26,6 +26,7 @@
     known_log_end,
     shows_server_alive,
 )
+from pollencleat.routing.placement import has_left
 
 log = structlog.get_logger()
 
@@ -63,6 +64,9 @@
 SUCCESSOR_STATUS_INTERVAL_S = 0.3
 """Seconds between two status reads of a server that may succeed a leaving primary."""
 
+SUCCESSOR_ANSWER_AGE_S = 1.0
+"""Seconds for which an answer shows that a server can succeed a leaving primary."""
+
 EMPTY_LOG_END = Position(0, 0)
 
 WARM_UP_S = 1.0
@@ -201,33 +205,50 @@
     def _has_successor(self, term: GroupTerm, now_s: float) -> bool:
         """Return whether a leaving primary can be replaced without losing commits.
 
-        It keeps the lead until a server that stays has received everything with which
-        its term began.  Until that is known, the statuses of these servers are read.
+        It keeps the lead until a server that can succeed it has received everything
+        with which its term began.  Until that is known, statuses are read.
         """
         board = self.board
         if term.primary not in board.inventory.servers_by_id:
             return True
         if reaches_latest_term(term.history, EMPTY_LOG_END):
             return True
-        group = board.inventory.groups_by_id[term.group_id]
-        staying = [
-            server_id
-            for server_id in group.server_ids
-            if server_id != term.primary and server_id not in board.vms.leaving
-        ]
-        for server_id in staying:
+        candidates = self._find_candidates(term, now_s)
+        for server_id in candidates:
             view = board.server_view(server_id)
+            if now_s - view.answered_at_s >= SUCCESSOR_ANSWER_AGE_S:
+                continue
             if view.refused_at_s is not None or is_unresponsive(view, now_s):
                 continue
             log_end = known_log_end(view)
             if log_end is not None and reaches_latest_term(term.history, log_end):
                 return True
-        for server_id in staying:
+        for server_id in candidates:
             view = board.server_view(server_id)
             if now_s - view.status_sent_at_s >= SUCCESSOR_STATUS_INTERVAL_S:
                 board.statuses_wanted.add(server_id)
         return False
 
+    def _find_candidates(self, term: GroupTerm, now_s: float) -> list[str]:
+        """Return the servers that may succeed a leaving primary.
+
+        A primary that gets no more statements may be succeeded by a server that leaves
+        too, but later.
+        """
+        board = self.board
+        has_primary_left = has_left(board, term.primary, now_s)
+        candidates = []
+        for server_id in board.inventory.groups_by_id[term.group_id].server_ids:
+            if server_id == term.primary:
+                continue
+            is_leaving = server_id in board.vms.leaving
+            if is_leaving and not has_primary_left:
+                continue
+            if is_leaving and has_left(board, server_id, now_s):
+                continue
+            candidates.append(server_id)
+        return candidates
+
     def _have_all_peers_answered(self, suspect: SuspectedPrimary) -> bool:
         others = set(self.board.fleet.members_by_id) - {self.board.node_id}
         return others <= set(suspect.sightings_by_node)
--- a/pollencleat/promotion/suspicion.py
+++ b/pollencleat/promotion/suspicion.py
@@ -57,8 +57,6 @@
         return Suspicion.NONE
     if term.primary not in board.inventory.servers_by_id:
         return Suspicion.LEAVING
-    if term.primary in board.vms.leaving:
-        return Suspicion.LEAVING
     view = board.server_view(term.primary)
     # Ignore observations from before the primary was published: its promoter has had
     # an answer since, and an older status shows the server's former role.
@@ -67,6 +65,8 @@
         return Suspicion.LOST
     if now_s - published_at_s > PRIMARY_TIMEOUT_S and is_unresponsive(view, now_s):
         return Suspicion.LOST
+    if term.primary in board.vms.leaving:
+        return Suspicion.LEAVING
     status = view.status
     if view.status_sent_at_s <= published_at_s:
         return Suspicion.NONE
