Promotion: what a resigned member saw, and an old primary that lost its log, prove nothing

What callers saw: acknowledged writes could be lost; found by the review of the fix. A node acknowledged a commit and stopped as planned; the position that others had seen before counted as the highest that any member had seen. An old primary that came back empty, or that follows a later one, counted as the final position.

Why it works: a seen position bounds the commits only if it was reported for a request sent after the last removal of any member, resigned or not; a final position must reach the start of its own term, in no later term.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -606,6 +606,25 @@
     await wait_for(is_promoted, 5.0)
 
 
+async def test_commit_that_only_a_resigned_node_has_seen_is_not_lost(cluster):
+    """Guards against a bound of acknowledged commits that leaves resigned nodes out."""
+    staying = cluster.nodes[1]
+    while not staying.board.bounds_by_group:
+        assert await cluster.try_write(1)
+    await wait_for(lambda: _has_all(cluster.group.servers))
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db", 0)
+    assert not (await client.query("WRITE k only-on-2")).error
+    client.close()
+    resigned = cluster.nodes.pop(0)
+    await resigned.stop()
+    await cluster.group.by_id("books-2").stop()
+    await cluster.group.servers[0].stop()
+    await asyncio.sleep(5.0)
+    promoted = cluster.group.by_id("books-1")
+    assert not promoted.is_primary, promoted.log
+
+
 async def test_draining_primary_is_replaced_before_it_stops(cluster):
     cluster.group.servers[0].draining = True
 
@@ -890,3 +909,15 @@
     await wait_for(has_new_primary)
     assert (await client.query("READ k")).rows == ("kept",)
     assert len(cluster.store.promotions) == promotions
+
+
+async def test_leaving_primary_leads_again_if_its_successors_may_lack_commits(cluster):
+    """Guards against 18 s without a primary: it was fenced, the replicas were held."""
+    cluster.group.unreachable_replica_ids.add("books-1")
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-2")).error
+    await cluster.group.by_id("books-2").stop()
+    cluster.group.servers[0].draining = True
+    await wait_for(lambda: _knows_leaving(cluster, "books-0"))
+    await asyncio.sleep(0.5)
+    await wait_for(lambda: _answers_read(cluster, "only-on-2"), 5.0)
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -85,8 +85,8 @@
         reported_departed_logs: Departed logs that other members know and that may be
             needed.
         reported_covered_logs: Departed logs that other members know not to be needed.
-        last_crash_at_s: When this node last learned of the removal of a member that had
-            not resigned; such a member may have acknowledged commits until then.
+        last_removal_at_s: When this node last learned of the removal of a member, which
+            may have acknowledged commits until then.
         known_position_by_server: Log positions known when the attempt began.
         is_promote_pending: A PromoteServer order is in progress.
         is_old_primary_asked: A probe of the old primary is in progress.
@@ -117,7 +117,7 @@
     seen_by_incarnation: dict[str, SeenPosition | None] = field(default_factory=dict)
     reported_departed_logs: set[ServerLog] = field(default_factory=set)
     reported_covered_logs: set[ServerLog] = field(default_factory=set)
-    last_crash_at_s: float = -1e9
+    last_removal_at_s: float = -1e9
     known_position_by_server: dict[str, int] = field(default_factory=dict)
     is_promote_pending: bool = False
     is_old_primary_asked: bool = False
@@ -168,7 +168,7 @@
         seen_by_incarnation={
             board.incarnation: board.seen_positions(now_s).get(term.group_id)
         },
-        last_crash_at_s=board.last_crash_at_s(),
+        last_removal_at_s=max(board.removal_learned_at_s.values(), default=-1e9),
         known_position_by_server={
             server_id: find_known_position(view)
             for server_id, view in board.servers_by_id.items()
@@ -475,12 +475,16 @@
         old_status: The old primary's status after it was fenced.
 
     Returns:
-        False if the primary lost its role without being fenced, or if its log ends
-        before a position that it reported earlier: it has restarted since, possibly
-        with an empty log.
+        False if the primary lost its role without being fenced, if it has followed a
+        later primary, or if its log ends before the start of its own term or a position
+        that it reported earlier: it has restarted since, possibly with an empty log.
     """
     if attempt.promotion.cause == Suspicion.DEMOTED.value:
         return False
+    if old_status.term >= attempt.log_term:
+        return False
+    if not reaches_latest_term(attempt.history, log_end_of(old_status)):
+        return False
     for seen in attempt.seen_by_incarnation.values():
         if seen is None:
             continue
@@ -498,7 +502,7 @@
 
     Returns:
         The highest position that any member has seen; None if a possible writer has not
-        confirmed, or if a crashed member may have acknowledged a later commit.
+        confirmed, or if a removed member may have acknowledged a later commit.
     """
     if attempt.unconfirmed_incarnations:
         return None
@@ -510,7 +514,7 @@
         newest_seen_at_s = max(newest_seen_at_s, attempt.age_reference_s - seen.age_s)
         if highest is None or is_before(highest, seen.position):
             highest = seen.position
-    return highest if newest_seen_at_s > attempt.last_crash_at_s else None
+    return highest if newest_seen_at_s > attempt.last_removal_at_s else None
 
 
 def is_caught_up(attempt: Attempt, server_id: str) -> bool:
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -232,3 +232,42 @@
     assert not has_old_primary_final_log(attempt)
     attempt.statuses_by_server["old"] = None
     assert not has_old_primary_final_log(attempt)
+
+
+def make_attempt_after_a_lost_acknowledger(seen):
+    """Return an attempt in which r1, which has all commits, does not answer."""
+    attempt = make_attempt({"old": None, "r1": None, "r2": make_status(60)})
+    attempt.history = (TermStart(2, 0), TermStart(3, 7))
+    attempt.seen_by_incarnation = seen
+    return attempt
+
+
+def test_old_primary_that_came_back_empty_has_no_final_position():
+    """Guards against a loss where no member that is left has seen the log's end."""
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt_after_a_lost_acknowledger({"n-1": None})
+    attempt.unconfirmed_incarnations = {"crashed-1"}
+    attempt.old_primary_status = make_status(0, term=1)
+    assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r2"
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
+
+
+def test_old_primary_that_follows_a_later_one_has_no_final_position():
+    """Guards against a loss after a promotion that a restored store has forgotten."""
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt_after_a_lost_acknowledger({"n-1": None})
+    attempt.unconfirmed_incarnations = {"crashed-1"}
+    # It is a replica in term 4, which the members do not know.
+    attempt.old_primary_status = make_status(60, term=4)
+    attempt.statuses_by_server["r2"] = make_status(60, term=4)
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
+
+
+def test_position_seen_before_a_member_resigned_bounds_nothing():
+    """Guards against a loss of commits that only a member that has left had seen."""
+    group = make_group(1, ("old", "r1", "r2"))
+    seen = {"n-1": SeenPosition(Position(3, 50), 100.0)}
+    attempt = make_attempt_after_a_lost_acknowledger(seen)
+    # Another member acknowledged entries up to 90 and resigned 1 s before the attempt.
+    attempt.last_removal_at_s = -1.0
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
