Fleet state: departed logs that are not soon covered are recorded

What callers saw: an acknowledged commit was missing after a change of primary, if all processes had been restarted since a replica left.

Cause: which logs had gone was known only to the processes that saw them go.

> assert not promoted, promoted[0].log E AssertionError: [LogEntry(term=3, number=1, key='warm', ...), LogEntry(term=3, number=2, key='warm', ...)]

A departed or lapsed log that is not covered within 2 s is recorded in the fleet object, at once by a process that stops; it is dropped when it is covered or its server is back. Departures whose logs are covered in time, nearly all, cost no update. A process that reads the record counts these logs as departed. It cannot tell whether their servers have ended or lapsed, so that a choice goes on waiting for them.

Not covered: all processes crash within 2 s of a departure.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -469,7 +469,6 @@
     await _crash_primary_and_expect_no_loss(cluster)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, 14")
 async def test_commit_of_a_replica_that_left_is_not_lost_if_all_processes_restart(
     cluster,
 ):
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -241,6 +241,9 @@
         departed_logs_by_group: Logs of servers that have ended, and when this node
             learned of it.  They may have been the only ones besides the primary's that
             held an acknowledged commit; they are dropped once that is excluded.
+        recorded_logs: Those of the departed logs that this node knows only from the
+            fleet state; their servers may come back.
+        lapsed_logs_by_group: Logs of the servers that lapsed while this node knew them.
         covered_logs_by_group: The newest departed logs that were dropped.
     """
 
@@ -283,6 +286,8 @@
     departed_logs_by_group: dict[str, dict[ServerLog, float]] = field(
         default_factory=dict
     )
+    recorded_logs: set[ServerLog] = field(default_factory=set)
+    lapsed_logs_by_group: dict[str, set[ServerLog]] = field(default_factory=dict)
     covered_logs_by_group: dict[str, tuple[ServerLog, ...]] = field(
         default_factory=dict
     )
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -324,6 +324,9 @@
         doubted: Incarnations of members that some node suspects to be gone, sorted.
         era: Era of the store that the state was written for.
         next_term: Lowest number of the next term of any group.
+        departed_logs_by_group: Logs that some member found gone, or lapsed, and that
+            may have been the only ones besides the primary's with an acknowledged
+            commit; for processes that start later.
     """
 
     version: int = 0
@@ -335,6 +338,9 @@
     doubted: tuple[str, ...] = ()
     era: int = 0
     next_term: int = 0
+    departed_logs_by_group: dict[str, tuple[ServerLog, ...]] = field(
+        default_factory=dict
+    )
 
     @property
     def is_settled(self) -> bool:
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -57,6 +57,7 @@
 from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import is_current_promoter
 from pollencleat.reports.logs import NonBlockingOutput
+from pollencleat.routing.departed_log_records import DepartedLogRecorder
 from pollencleat.routing.departed_logs import DepartedLogController
 from pollencleat.routing.replica_positions import ReplicaPositionController
 
@@ -126,6 +127,7 @@
         self.departed_logs = DepartedLogController(
             self.board, self.access.request_probe
         )
+        self.departed_log_recorder = DepartedLogRecorder(self.board)
         self.replica_positions = ReplicaPositionController(
             self.board, self.access.request_probe
         )
@@ -214,6 +216,7 @@
 
     def _check_servers(self) -> None:
         self.departed_logs.tick(read_boottime_s())
+        self.departed_log_recorder.tick(read_boottime_s())
         self.replica_positions.tick(read_boottime_s())
         self.liveness.tick()
 
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -211,7 +211,10 @@
                 board.incarnation,
                 message.attempt_id,
                 board.seen_positions(now_s),
-                tuple(board.departed_logs_by_group.get(group_id, ())),
+                (
+                    *board.departed_logs_by_group.get(group_id, ()),
+                    *board.lapsed_logs_by_group.get(group_id, ()),
+                ),
                 board.covered_logs_by_group.get(group_id, ()),
             ),
         )
--- a/pollencleat/membership/fleet.py
+++ b/pollencleat/membership/fleet.py
@@ -13,6 +13,7 @@
     Member,
     Promotion,
     RemovedMember,
+    ServerLog,
     TermStart,
 )
 
@@ -285,6 +286,22 @@
     return replace(fleet, terms_by_group=terms)
 
 
+def with_departed_logs(fleet: Fleet, group_id: str, logs: set[ServerLog]) -> Fleet:
+    """Replace the recorded departed logs of a group.
+
+    Args:
+        fleet: The state to start from.
+        group_id: The group.
+        logs: Its logs that may be needed.
+
+    Returns:
+        The changed state.
+    """
+    recorded = {**fleet.departed_logs_by_group, group_id: tuple(sorted(logs))}
+    kept = {name: recorded[name] for name in sorted(recorded) if recorded[name]}
+    return replace(fleet, departed_logs_by_group=kept)
+
+
 def with_audit_entry(fleet: Fleet, entry: AuditEntry) -> Fleet:
     """Add an audit entry to the change that it describes.
 
--- a/pollencleat/membership/restored.py
+++ b/pollencleat/membership/restored.py
@@ -15,6 +15,7 @@
     Member,
     Promotion,
     RemovedMember,
+    ServerLog,
     ServerStatus,
 )
 from pollencleat.membership.fleet import (
@@ -115,9 +116,20 @@
         doubted=tuple(sorted(doubted)),
         era=era,
         next_term=max(known.next_term, restored.next_term, first_term_of(era)),
+        departed_logs_by_group=_merge_departed_logs(known, restored),
     )
 
 
+def _merge_departed_logs(
+    known: Fleet, restored: Fleet
+) -> dict[str, tuple[ServerLog, ...]]:
+    """Return all recorded logs; those that are not needed are dropped again."""
+    merged = dict(known.departed_logs_by_group)
+    for group_id, logs in restored.departed_logs_by_group.items():
+        merged[group_id] = tuple(sorted({*merged.get(group_id, ()), *logs}))
+    return merged
+
+
 def _make_removal(member: Member, restored: Fleet) -> RemovedMember:
     return RemovedMember(
         member.node_id, member.incarnation, False, restored.version + 1
--- a/pollencleat/membership/restored_test.py
+++ b/pollencleat/membership/restored_test.py
@@ -10,6 +10,7 @@
     Member,
     Promotion,
     RemovedMember,
+    ServerLog,
     ServerStatus,
 )
 from pollencleat.core.versions import make_version
@@ -189,3 +190,14 @@
     changed = with_doubtful_terms_replaced(settled, ["g"]).terms_by_group["g"]
     assert changed.primary == "" and changed.promotion.node_id == ""
     assert changed.promotion.old_primary == "p"
+
+
+def test_departed_logs_of_before_and_of_the_copy_are_kept():
+    known = fleet(departed_logs_by_group={"g": (ServerLog("s", 1),)})
+    copy = restored(
+        departed_logs_by_group={"g": (ServerLog("r", 1),), "h": (ServerLog("t", 1),)}
+    )
+    assert merge_restored(known, copy, 1).departed_logs_by_group == {
+        "g": (ServerLog("r", 1), ServerLog("s", 1)),
+        "h": (ServerLog("t", 1),),
+    }
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -80,10 +80,14 @@
             continue
         if attempt.statuses_by_server.get(server_id) is None:
             return True
+    departed = set(board.departed_logs_by_group.get(attempt.group_id, ()))
+    reported = attempt.reported_departed_logs - attempt.reported_covered_logs
+    if departed & board.recorded_logs or reported - departed:
+        # It is not known here whether their servers have ended or only lapsed.
+        return True
     old_status = attempt.old_primary_status
     if old_status is None:
         old_status = attempt.statuses_by_server.get(old_primary)
     if old_status is not None:
         return is_final_position_reliable(attempt, old_status)
-    departed = board.departed_logs_by_group.get(attempt.group_id, ())
     return all(log.server_id != old_primary for log in departed)
--- /dev/null
+++ b/pollencleat/routing/departed_log_records_test.py
@@ -0,0 +1,141 @@
+from dataclasses import replace
+
+import pytest
+
+from pollencleat.core.data import GroupTerm, Promotion, ServerLog, VmList
+from pollencleat.core.effects import UpdateFleet
+from pollencleat.promotion.missing_logs import can_waiting_help
+from pollencleat.routing.departed_log_records import (
+    RECORD_AFTER_S,
+    DepartedLogRecorder,
+)
+from pollencleat.routing.departed_logs import DepartedLogController
+from pollencleat.routing.departed_logs_test import STEP_S, TERM, Group
+
+LOG = ServerLog("s", 1)
+
+
+class RecordedGroup(Group):
+    """A group whose node records departed logs; each update is carried out at once."""
+
+    def __init__(self):
+        super().__init__()
+        self.recorder = DepartedLogRecorder(self.board)
+
+    def run(self, seconds, carries_out=True):
+        """Pass time; return the number of updates."""
+        count = 0
+        for _ in range(round(seconds / STEP_S)):
+            self.tick()
+            self.recorder.tick(self.now_s)
+            for effect in self.board.effects:
+                assert isinstance(effect, UpdateFleet)
+                assert effect.expected_version == self.board.fleet.version
+                count += 1
+                if carries_out:
+                    self.adopt(effect.fleet)
+            self.board.effects.clear()
+        return count
+
+    def adopt(self, fleet):
+        version = self.board.fleet.version + 1
+        self.board.adopt_fleet(replace(fleet, version=version), self.now_s)
+
+    def recorded(self):
+        return self.board.fleet.departed_logs_by_group.get("g", ())
+
+    def start_anew(self):
+        """Return the same group as a process sees it that is started now."""
+        started = RecordedGroup()
+        board = started.board
+        board.vms = VmList()
+        board.departed_logs_by_group.clear()
+        started.controller = DepartedLogController(board, started.probed.append)
+        started.servers = self.servers
+        started.received = self.received
+        started.acknowledged = self.acknowledged
+        started.adopt(self.board.fleet)
+        started.publish()
+        started.tick()
+        return started
+
+
+@pytest.fixture
+def group():
+    group = RecordedGroup()
+    group.commit("s")
+    group.leave("s")
+    return group
+
+
+def test_process_started_after_a_departure_knows_of_it(group):
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    assert group.recorded() == (LOG,)
+    started = group.start_anew()
+    assert started.open_logs() == [LOG]
+    assert not started.find_lost_commit()
+
+
+def test_departed_log_that_is_soon_covered_costs_no_update(group):
+    group.receive("r")
+    group.answer("p")
+    group.answer("r")
+    assert group.run(10.0) == 0
+
+
+def test_covered_log_is_dropped_from_the_record_and_not_recorded_again(group):
+    group.run(RECORD_AFTER_S + 1.0)
+    started = group.start_anew()
+    group.receive("r")
+    group.answer("p")
+    group.answer("r")
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    assert group.recorded() == ()
+    assert started.run(1.0) == 0
+    started.adopt(group.board.fleet)
+    assert started.open_logs() and started.run(20.0) == 0
+
+
+def test_lapsed_log_is_recorded_until_its_server_is_back():
+    group = RecordedGroup()
+    server = group.servers.pop("s")
+    group.publish(lapsed=["s"])
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    assert group.recorded() == (LOG,)
+    group.servers["s"] = server
+    group.publish()
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    assert group.recorded() == () and not group.open_logs()
+
+
+def test_process_that_stops_records_at_once(group):
+    group.board.draining = True
+    assert group.run(2 * STEP_S) == 1
+
+
+def test_update_that_was_not_accepted_is_repeated(group):
+    assert group.run(RECORD_AFTER_S + 3.0, carries_out=False) >= 2
+
+
+def test_nothing_is_recorded_while_a_promotion_is_in_progress(group):
+    promotion = Promotion("a/1", "n", "n-1", "p", False, "primary lost")
+    term = GroupTerm("g", TERM + 1, "", promotion)
+    group.adopt(replace(group.board.fleet, terms_by_group={"g": term}))
+    assert group.run(10.0) == 0
+
+
+def test_choice_waits_for_servers_that_only_the_record_names():
+    """The record does not tell a lapsed server from one that has ended."""
+    group = RecordedGroup()
+    group.commit("s")
+    for server_id in "ps":
+        del group.servers[server_id]
+    group.publish(lapsed=["p", "s"])
+    group.run(RECORD_AFTER_S + 1.0)
+    assert len(group.recorded()) == 2
+    started = group.start_anew()
+    attempt = started.make_attempt()
+    attempt.statuses_by_server = {"r": attempt.statuses_by_server["r"]}
+    attempt.unconfirmed_incarnations = set()
+    declared = started.board.inventory.groups_by_id["g"]
+    assert can_waiting_help(started.board, attempt, declared)
--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -72,6 +72,7 @@
         # Servers that are registered, or lapsed: these may come back with their logs.
         self._servers_by_id: dict[str, BackendServer] = {}
         self._schedules_by_log: dict[ServerLog, ProbeSchedule] = {}
+        self._seen_records: set[ServerLog] = set()
 
     def tick(self, now_s: float) -> None:
         """Record departures, and drop the logs that no longer count.
@@ -82,6 +83,8 @@
         board = self._board
         if board.vms is not self._vms:
             self._note_departures(board.vms, now_s)
+        if board.vms.version and board.fleet.departed_logs_by_group:
+            self._note_recorded(now_s)
         for group_id, logs in board.departed_logs_by_group.items():
             group = board.inventory.groups_by_id.get(group_id)
             if group is None or not logs:
@@ -91,6 +94,7 @@
                     self._drop(group_id, departed, now_s - since_s)
 
     def _note_departures(self, vms: VmList, now_s: float) -> None:
+        board = self._board
         for server_id, server in list(self._servers_by_id.items()):
             registered = vms.servers_by_id.get(server_id)
             if registered is not None:
@@ -100,24 +104,46 @@
                 has_ended = server_id not in lapsed
             if has_ended:
                 del self._servers_by_id[server_id]
-                self._add(server, now_s)
+                self._add(server.group_id, _log_of(server), now_s)
         for server in vms.servers_by_id.values():
             # Its entry was missing for a while.
-            logs = self._board.departed_logs_by_group.get(server.group_id, {})
-            logs.pop(ServerLog(server.server_id, server.born_ms), None)
+            logs = board.departed_logs_by_group.get(server.group_id, {})
+            logs.pop(_log_of(server), None)
+        board.lapsed_logs_by_group.clear()
+        for server_id, server in self._servers_by_id.items():
+            if server_id not in vms.servers_by_id:
+                logs = board.lapsed_logs_by_group.setdefault(server.group_id, set())
+                logs.add(_log_of(server))
         self._servers_by_id.update(vms.servers_by_id)
         self._vms = vms
 
-    def _add(self, server: BackendServer, now_s: float) -> None:
-        departed = ServerLog(server.server_id, server.born_ms)
-        logs = self._board.departed_logs_by_group.setdefault(server.group_id, {})
-        logs[departed] = now_s
+    def _note_recorded(self, now_s: float) -> None:
+        """Adopt the departures that were recorded before this process knew the group.
+
+        The others are known from the lists of servers.
+        """
+        board = self._board
+        for group_id, recorded in board.fleet.departed_logs_by_group.items():
+            for departed in recorded:
+                if departed in self._seen_records:
+                    continue
+                self._seen_records.add(departed)
+                server = self._servers_by_id.get(departed.server_id)
+                is_present = server is not None and _log_of(server) == departed
+                is_covered = departed in board.covered_logs_by_group.get(group_id, ())
+                logs = board.departed_logs_by_group.get(group_id, {})
+                if not is_present and not is_covered and departed not in logs:
+                    board.recorded_logs.add(departed)
+                    self._add(group_id, departed, now_s)
+
+    def _add(self, group_id: str, departed: ServerLog, now_s: float) -> None:
+        self._board.departed_logs_by_group.setdefault(group_id, {})[departed] = now_s
         self._schedules_by_log[departed] = ProbeSchedule(now_s + TRAFFIC_WAIT_S)
         log.info(
             "log departed",
-            group=server.group_id,
-            server=server.server_id,
-            born_ms=server.born_ms,
+            group=group_id,
+            server=departed.server_id,
+            born_ms=departed.born_ms,
         )
 
     def _drop(self, group_id: str, departed: ServerLog, after_s: float) -> None:
@@ -237,5 +263,9 @@
     return max(positions, key=_order, default=None)
 
 
+def _log_of(server: BackendServer) -> ServerLog:
+    return ServerLog(server.server_id, server.born_ms)
+
+
 def _order(position: Position) -> tuple[int, int]:
     return (position.term, position.position)
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -346,7 +346,7 @@
 
 
 class ForgetsDepartures(DepartedLogController):
-    def _add(self, server, now_s):
+    def _add(self, group_id, departed, now_s):
         pass
 
 
