Promotion: a choice that waits goes on asking members that did not confirm

A group without a primary for up to 18 s, until another node took the promotion over.

Cause: a choice that cannot exclude a loss waits for the reports of all members. Members that had not confirmed by the end of the stopping phase, or whose confirmation was lost, were not asked again, so that their reports could not come. Members removed meanwhile stayed on the list as well.

Evidence, before the change:

> assert any(isinstance(item.message, StopWrites) for item in board.outbox) E assert False FAILED pollencleat/promotion/controller_test.py::test_member_that_did_not_ confirm_in_time_is_still_asked_while_a_choice_waits

Both phases now ask the members that have not confirmed, at the same growing intervals. A member that is dropped since its permit has expired counts as crashed from when its removal was learned: what it had seen stays unknown.

--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -397,6 +397,26 @@
     assert 4 <= len(stop_messages) <= 7
 
 
+def test_member_that_did_not_confirm_in_time_is_still_asked_while_a_choice_waits():
+    """A choice that needed its report waited until the attempt was taken over."""
+    board, controller = begin_attempt_of("primary lost")
+    attempt = controller.attempts_by_group["g"]
+    now_s = attempt.stop_deadline_s + 0.1
+    controller.tick(now_s)
+    assert attempt.phase is Phase.CHOOSING and attempt.unconfirmed_incarnations
+    board.outbox.clear()
+    for _ in range(20):
+        now_s += 0.1
+        controller.tick(now_s)
+    assert any(isinstance(item.message, StopWrites) for item in board.outbox)
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), now_s)
+    board.outbox.clear()
+    for _ in range(20):
+        now_s += 0.1
+        controller.tick(now_s)
+    assert not any(isinstance(item.message, StopWrites) for item in board.outbox)
+
+
 def test_server_that_was_never_queried_is_not_suspected():
     """Regression (grown Volta, quiet-1): nodes that are not gateways send no requests
     to servers, and suspected every primary as lost."""
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -154,23 +154,33 @@
                 self._advance_publishing(attempt, now_s)
 
     def _advance_stopping(self, attempt: Attempt, now_s: float) -> None:
-        attempt.unconfirmed_incarnations -= {
-            incarnation
-            for incarnation in attempt.unconfirmed_incarnations
-            if has_permit_expired(self.board, incarnation, now_s)
-        }
+        self._pursue_confirmations(attempt, now_s)
         if not attempt.unconfirmed_incarnations or now_s >= attempt.stop_deadline_s:
             if can_keep_old_primary(attempt):
                 self._fence_old_primary(attempt)
             attempt.enter(Phase.CHOOSING, now_s)
             return
-        if now_s - attempt.stop_sent_at_s >= attempt.stop_resend_interval_s:
-            self._send_stop_writes(attempt, now_s)
         if now_s - attempt.servers_asked_at_s >= RETRY_INTERVAL_S:
             attempt.servers_asked_at_s = now_s
             if can_keep_old_primary(attempt) and not attempt.is_old_primary_asked:
                 self._ask_old_primary(attempt)
 
+    def _pursue_confirmations(self, attempt: Attempt, now_s: float) -> None:
+        """Ask members that have not confirmed again; drop those that are long gone."""
+        expired = {
+            incarnation
+            for incarnation in attempt.unconfirmed_incarnations
+            if has_permit_expired(self.board, incarnation, now_s)
+        }
+        if expired:
+            attempt.unconfirmed_incarnations -= expired
+            # What they had seen of the old primary's log stays unknown.
+            attempt.last_crash_at_s = self.board.last_crash_at_s()
+        if not attempt.unconfirmed_incarnations:
+            return
+        if now_s - attempt.stop_sent_at_s >= attempt.stop_resend_interval_s:
+            self._send_stop_writes(attempt, now_s)
+
     def _send_stop_writes(self, attempt: Attempt, now_s: float) -> None:
         board = self.board
         attempt.stop_sent_at_s = now_s
@@ -212,6 +222,7 @@
                 attempt.old_primary_status = result.status
 
     def _advance_choosing(self, attempt: Attempt, now_s: float) -> None:
+        self._pursue_confirmations(attempt, now_s)
         server_ids = self.board.inventory.groups_by_id[attempt.group_id].server_ids
         if now_s - attempt.servers_asked_at_s >= STATUS_TIMEOUT_S:
             attempt.servers_asked_at_s = now_s
