Promotion: a removed process may acknowledge commits until its permit expires

Cause: the members' reports bound all acknowledged commits only if one of them is newer than what a crashed member can have acknowledged. Its removal was taken for the end of that, but a process that was removed while it was cut off from its peers holds its write permit for REMOVED_PERMIT_EXPIRY_S more.

Evidence, before the change:

> assert has_every_acknowledged_commit(...) is is_safe E AssertionError: assert True is False FAILED pollencleat/promotion/attempt_test.py::test_removed_process_may_have_ acknowledged_commits_until_its_permit_expired

The bound now needs a report that is newer than the end of that permit.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -85,7 +85,8 @@
             needed.
         reported_covered_logs: Departed logs that other members know not to be needed.
         last_crash_at_s: When this node last learned of the removal of a member that had
-            not resigned; such a member may have acknowledged commits until then.
+            not resigned; such a member may have acknowledged commits until its permit
+            had expired.
         known_position_by_server: Log positions known when the attempt began.
         is_promote_pending: A PromoteServer order is in progress.
         is_old_primary_asked: A probe of the old primary is in progress.
@@ -422,7 +423,8 @@
         newest_seen_at_s = max(newest_seen_at_s, attempt.age_reference_s - seen.age_s)
         if highest is None or is_before(highest, seen.position):
             highest = seen.position
-    return highest if newest_seen_at_s > attempt.last_crash_at_s else None
+    crashed_until_s = attempt.last_crash_at_s + REMOVED_PERMIT_EXPIRY_S
+    return highest if newest_seen_at_s > crashed_until_s else None
 
 
 def is_caught_up(attempt: Attempt, server_id: str) -> bool:
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -4,6 +4,7 @@
 from pollencleat.core.data import DatabaseGroup, Position, Promotion, ServerStatus
 from pollencleat.core.messages import SeenPosition
 from pollencleat.promotion.attempt import (
+    REMOVED_PERMIT_EXPIRY_S,
     Attempt,
     choose_server,
     has_every_acknowledged_commit,
@@ -155,3 +156,17 @@
     attempt.seen_by_incarnation = {"n-1": SeenPosition(Position(3, 90), 0.1)}
     assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r1"
     assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
+def test_removed_process_may_have_acknowledged_commits_until_its_permit_expired():
+    """Regression: only its removal counted, after which it could still write."""
+    attempt = make_attempt({"old": None, "r1": make_status(7), "r2": None})
+    attempt.age_reference_s = 100.0
+    attempt.last_crash_at_s = 98.0
+    group = make_group(1, ("old", "r1", "r2"))
+    seen_at_s = 98.0 + REMOVED_PERMIT_EXPIRY_S
+    for after_s, is_safe in ((-0.1, False), (0.1, True)):
+        age_s = attempt.age_reference_s - (seen_at_s + after_s)
+        seen = SeenPosition(Position(3, 7), age_s)
+        attempt.seen_by_incarnation = {"n-1": seen}
+        assert has_every_acknowledged_commit(attempt, group, "r1") is is_safe
