--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -7,6 +7,7 @@
     BackendError,
     BackendLostError,
     CallerError,
+    DrainingError,
     FailedError,
     MalformedStatementError,
     TransactionLostError,
@@ -51,10 +52,13 @@
 
         Raises:
             MalformedStatementError: One is open already.
+            DrainingError: The node stops before a transaction can be expected to end.
             WritesUnavailableError: It may write, and no primary can be written to.
         """
         if self._session.transaction is not None:
             raise MalformedStatementError("a transaction is already open")
+        if not self._access.accepts_transactions:
+            raise DrainingError("this node is stopping")
         route = self._access.route_of(self._session.database)
         now_s = self._access.clock()
         if not statement.read_only:
@@ -97,6 +101,7 @@
         lease = transaction.lease
         limit_s = transaction.route.statement_limit_ms / 1000
         sent_at_s = self._access.clock()
+        self._steps.trace.may_persist = transaction.has_written
         try:
             reply = await self._steps.await_reply(
                 lease, lease.connection.commit(statement), limit_s, transaction.route
@@ -218,7 +223,7 @@
             self._steps.require_current_log(
                 target, reply, known_position, transaction.route
             )
-        except RetryableError:
+        except BaseException:
             lease.release(False)
             raise
         if not transaction.read_only:
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -8,11 +8,11 @@
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import log_end_of
 from pollencleat.core.data import (
     AuditEntry,
     DatabaseGroup,
     Fleet,
-    Position,
     ServerStatus,
 )
 from pollencleat.core.effects import (
@@ -39,6 +39,8 @@
     begin_attempt,
     can_keep_old_primary,
     choose_server,
+    find_acknowledgement_bound,
+    format_log_end,
     has_every_acknowledged_commit,
     has_permit_expired,
     is_caught_up,
@@ -229,6 +231,10 @@
             attempt.statuses_by_server = {}
             for server_id in server_ids:
                 self.board.effects.append(self._make_status_request(attempt, server_id))
+            return
+        group = self.board.inventory.groups_by_id[attempt.group_id]
+        if attempt.statuses_by_server:
+            self._choose(attempt, group, now_s)
 
     def _make_status_request(
         self, attempt: Attempt, server_id: str
@@ -299,67 +305,87 @@
         waited_s = now_s - attempt.phase_started_at_s
         if missing and waited_s < STATUS_TIMEOUT_S:
             return
+        round_s = now_s - attempt.servers_asked_at_s
+        if missing and attempt.promotion.planned and round_s < RETRY_INTERVAL_S:
+            # The old primary often answers first, and is the last choice.
+            return
         leaving = self.board.vms.leaving
         if attempt.promotion.planned:
             leaving = (*leaving, attempt.promotion.old_primary)
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
+            self._log_choice(attempt, "", "no server qualifies", ())
             return
-        unregistered = find_missing_logs(self.board, attempt)
-        if not has_every_acknowledged_commit(attempt, group, chosen, unregistered):
-            is_waiting = can_waiting_help(self.board, attempt, group)
-            self._log_incomplete_choice(attempt, chosen, unregistered, is_waiting)
-            if is_waiting:
+        missing_logs = find_missing_logs(self.board, attempt)
+        if not has_every_acknowledged_commit(attempt, group, chosen, missing_logs):
+            if can_waiting_help(self.board, attempt, group):
+                reason = "may lack acknowledged commits"
+                self._log_choice(attempt, chosen, reason, missing_logs)
                 return
+            log.warning("commits may be lost", group=attempt.group_id, server=chosen)
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
+            self._log_choice(attempt, chosen, "applies its log", missing_logs)
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
             return
         attempt.chosen_server_id = chosen
-        self._broadcast_writes_ended(attempt, chosen)
+        attempt.chosen_log_end = log_end_of(attempt.statuses_by_server[chosen])
+        self._log_choice(attempt, chosen, "", missing_logs)
+        self._broadcast_writes_ended(attempt)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
-    def _log_incomplete_choice(
+    def _log_choice(
         self,
         attempt: Attempt,
         chosen: str,
-        unregistered: tuple[str, ...],
-        is_waiting: bool,
+        waits_because: str,
+        missing_logs: tuple[str, ...],
     ) -> None:
-        """Log once what a choice lacks that may not have every acknowledged commit."""
-        unanswered = [
-            server_id
-            for server_id, status in attempt.statuses_by_server.items()
-            if status is None
-        ]
-        lacking = (chosen, *unanswered, *unregistered, is_waiting)
-        if lacking == attempt.logged_as_lacking:
+        """Log the logs that were compared, once for each outcome of the choice.
+
+        Args:
+            attempt: The attempt.
+            chosen: The most advanced server, or empty.
+            waits_because: Why the server is not promoted yet; empty if it is.
+            missing_logs: Logs that cannot be asked and may be needed.
+        """
+        if attempt.logged_choice == (chosen, waits_because):
             return
-        attempt.logged_as_lacking = lacking
-        event = "promotion waits" if is_waiting else "commits may be lost"
-        log.warning(
-            event,
+        attempt.logged_choice = (chosen, waits_because)
+        vms = self.board.vms
+        seen = find_acknowledgement_bound(attempt)
+        log.info(
+            "promotion waits" if waits_because else "primary chosen",
             group=attempt.group_id,
-            attempt=attempt.promotion.attempt_id,
-            best=chosen,
-            position=str(attempt.statuses_by_server[chosen].received_position),
-            unanswered=unanswered,
-            unregistered=list(unregistered),
+            term=attempt.term,
+            server=chosen,
+            reason=waits_because,
+            positions_by_server={
+                server_id: format_log_end(status)
+                for server_id, status in attempt.statuses_by_server.items()
+            },
             old_primary=attempt.promotion.old_primary,
-            old_primary_answered=attempt.old_primary_status is not None,
+            fenced_at=format_log_end(attempt.old_primary_status),
+            members_saw=f"{seen.term}.{seen.position}" if seen else "",
             unconfirmed=len(attempt.unconfirmed_incarnations),
+            leaving=[
+                server_id
+                for server_id in attempt.statuses_by_server
+                if server_id in vms.leaving
+            ],
+            unregistered=list(missing_logs),
         )
 
-    def _broadcast_writes_ended(self, attempt: Attempt, chosen: str) -> None:
+    def _broadcast_writes_ended(self, attempt: Attempt) -> None:
         """Announce the end of the old term's writes to all members.
 
         Replicas can then serve reads until the next primary is published.
         """
         board = self.board
-        status = attempt.statuses_by_server[chosen]
-        position = Position(status.last_entry_term, status.received_position)
-        message = WritesEnded(board.node_id, attempt.group_id, attempt.term, position)
+        message = WritesEnded(
+            board.node_id, attempt.group_id, attempt.term, attempt.chosen_log_end
+        )
         board.writes_ended_by_group[attempt.group_id] = message
         for node_id in board.fleet.members_by_id:
             if node_id != board.node_id:
@@ -380,6 +406,7 @@
                 attempt.chosen_server_id,
                 attempt.log_term,
                 attempt.term,
+                attempt.chosen_log_end,
             )
         )
 
