Promotion: the old primary leads again if no successor has every commit

What callers saw: a group without a primary for 15 s and more, though its old primary had returned with its log.

Cause: a primary whose entry has vanished is replaced as one that is leaving. The choice then looks only at other servers; these are held and receive nothing more, so that a choice that needed the old primary's final position, because a departed log was missing, could never be made.

If the best successor may lack a commit and the old primary is ahead of it and has every one, the old primary is promoted again; the others then receive its log.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -475,6 +475,23 @@
     return True
 
 
+def is_old_primary_ahead(attempt: Attempt, server_id: str) -> bool:
+    """Return whether the old primary has log entries that another server lacks.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+        server_id: A server that answered.
+
+    Returns:
+        False if the old primary has not answered.
+    """
+    status = attempt.statuses_by_server.get(attempt.promotion.old_primary)
+    if status is None:
+        return False
+    log_end = log_end_of(attempt.statuses_by_server[server_id])
+    return is_before(log_end, log_end_of(status))
+
+
 def find_acknowledgement_bound(attempt: Attempt) -> Position | None:
     """Return an upper bound of the positions of all acknowledged commits.
 
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -15,6 +15,7 @@
     Position,
     Promotion,
     RemovedMember,
+    ServerLog,
     ServerStatus,
     TermStart,
 )
@@ -418,6 +419,30 @@
     assert not any(isinstance(item.message, StopWrites) for item in board.outbox)
 
 
+def test_old_primary_leads_again_if_no_successor_has_every_acknowledged_commit():
+    """A planned change waited for a replica that it had stopped from receiving."""
+    board, controller = begin_attempt_of("primary is leaving")
+    attempt = controller.attempts_by_group["g"]
+    attempt.promotion = replace(attempt.promotion, planned=True)
+    board.fleet.terms_by_group["g"] = replace(
+        board.fleet.terms_by_group["g"], promotion=attempt.promotion
+    )
+    board.departed_logs_by_group["g"] = {ServerLog("s", 1): 9.0}
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), 10.2)
+    statuses = {"p": 9, "r": 8}
+    now_s = 10.2
+    while now_s < 13.0:
+        now_s += 0.05
+        board.fleet_confirmed_at_s = now_s
+        controller.tick(now_s)
+        for server_id, number in statuses.items():
+            status = ServerStatus(7, number, number, 7, True, None, 7)
+            read = ServerStatusRead("n-1/1", server_id, status)
+            controller.on_status_read(read, now_s)
+    orders = [item for item in board.effects if isinstance(item, PromoteServer)]
+    assert [order.server_id for order in orders] == ["p"]
+
+
 def test_server_that_was_never_queried_is_not_suspected():
     """Regression (grown Volta, quiet-1): nodes that are not gateways send no requests
     to servers, and suspected every primary as lost."""
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -45,6 +45,7 @@
     has_permit_expired,
     is_caught_up,
     is_current_promoter,
+    is_old_primary_ahead,
 )
 from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
 
@@ -317,7 +318,16 @@
             self._log_choice(attempt, "", "no server qualifies", ())
             return
         missing_logs = find_missing_logs(self.board, attempt)
-        if not has_every_acknowledged_commit(attempt, group, chosen, missing_logs):
+        is_complete = has_every_acknowledged_commit(
+            attempt, group, chosen, missing_logs
+        )
+        if not is_complete and is_old_primary_ahead(attempt, chosen):
+            # The others are held and receive nothing more; a leaving primary leads on.
+            chosen = attempt.promotion.old_primary
+            is_complete = has_every_acknowledged_commit(
+                attempt, group, chosen, missing_logs
+            )
+        if not is_complete:
             if can_waiting_help(self.board, attempt, group):
                 reason = "may lack acknowledged commits"
                 self._log_choice(attempt, chosen, reason, missing_logs)
