--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -87,6 +87,9 @@
         reported_covered_logs: Departed logs that other members know not to be needed.
         last_removal_at_s: When this node last learned of the removal of a member, which
             may have acknowledged commits until then.
+        last_crash_at_s: When this node last learned of the removal of a member that had
+            not resigned; such a member may have acknowledged commits until its permit
+            had expired.
         known_position_by_server: Log positions known when the attempt began.
         is_promote_pending: A PromoteServer order is in progress.
         is_old_primary_asked: A probe of the old primary is in progress.
@@ -118,6 +121,7 @@
     reported_departed_logs: set[ServerLog] = field(default_factory=set)
     reported_covered_logs: set[ServerLog] = field(default_factory=set)
     last_removal_at_s: float = -1e9
+    last_crash_at_s: float = -1e9
     known_position_by_server: dict[str, int] = field(default_factory=dict)
     is_promote_pending: bool = False
     is_old_primary_asked: bool = False
@@ -168,6 +172,7 @@
         seen_by_incarnation={
             board.incarnation: board.seen_positions(now_s).get(term.group_id)
         },
+        last_crash_at_s=board.last_crash_at_s(),
         last_removal_at_s=max(board.removal_learned_at_s.values(), default=-1e9),
         known_position_by_server={
             server_id: find_known_position(view)
@@ -483,6 +488,9 @@
         return False
     if old_status.term >= attempt.log_term:
         return False
+    known = attempt.known_position_by_server.get(attempt.promotion.old_primary, 0)
+    if old_status.received_position < known:
+        return False
     if not reaches_latest_term(attempt.history, log_end_of(old_status)):
         return False
     for seen in attempt.seen_by_incarnation.values():
@@ -514,7 +522,10 @@
         newest_seen_at_s = max(newest_seen_at_s, attempt.age_reference_s - seen.age_s)
         if highest is None or is_before(highest, seen.position):
             highest = seen.position
-    return highest if newest_seen_at_s > attempt.last_removal_at_s else None
+    removed_until_s = max(
+        attempt.last_removal_at_s, attempt.last_crash_at_s + REMOVED_PERMIT_EXPIRY_S
+    )
+    return highest if newest_seen_at_s > removed_until_s else None
 
 
 def is_caught_up(attempt: Attempt, server_id: str) -> bool:
