Connection pool: a changed limit of a server breaks no connection in use

A configuration that changed a service's connection limit, or a server that reported other slots, closed all connections to these servers: writes at work ended as "outcome unknown", transactions were rolled back.

Cause: a pool was kept only if everything that is known of its server was unchanged.

Evidence: the new test failed before for connections and slots with E AssertionError: assert False is True E + where False = <...IdleConnection...>.is_usable

Fix: a pool is replaced only if the server is another one: its address, failure domain, group or start.

--- a/pollencleat/backend/pools.py
+++ b/pollencleat/backend/pools.py
@@ -1,6 +1,7 @@
 """The connection pools of all servers, kept in sync with the blackboard."""
 
 import asyncio
+import dataclasses
 from collections import Counter
 from collections.abc import Callable, Coroutine, Mapping
 
@@ -130,7 +131,12 @@
             self._inventory_changed_at_s = self.clock()
         self._applied_inventory = inventory
         for server_id, pool in list(self.pools_by_server.items()):
-            if inventory.servers_by_id.get(server_id) == pool.server:
+            server = inventory.servers_by_id.get(server_id)
+            if server == pool.server:
+                continue
+            if server is not None and _is_same_process(server, pool.server):
+                pool.server = server
+                self._allow(pool, pool.allowed)
                 continue
             pool.allow(0)
             pool.close()
@@ -190,3 +196,9 @@
         for pool in self.pools_by_server.values():
             pool.allow(0)
             pool.close()
+
+
+def _is_same_process(server: BackendServer, other: BackendServer) -> bool:
+    """Return whether connections to a server as it was declared lead to it still."""
+    limits = {"slots": other.slots, "connections": other.connections}
+    return dataclasses.replace(server, **limits) == other
--- a/pollencleat/engine/access_test.py
+++ b/pollencleat/engine/access_test.py
@@ -1,9 +1,20 @@
+import dataclasses
 import random
 
 import pytest
 
+from pollencleat.backend.pool import ServerPool
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import Freshness, Route
+from pollencleat.core.data import (
+    BackendServer,
+    DatabaseGroup,
+    Fleet,
+    Freshness,
+    GroupTerm,
+    Inventory,
+    Member,
+    Route,
+)
 from pollencleat.core.errors import (
     BackendError,
     BackendFullError,
@@ -48,3 +59,60 @@
         await access.borrow(target, route, session, True)
     with pytest.raises(BackendUnreachableError):
         access.make_connection_request(target, route, session, True)
+
+
+class IdleConnection:
+    """A connection that is open until it is closed."""
+
+    is_usable = True
+    has_open_transaction = False
+
+    def close(self):
+        self.is_usable = False
+
+
+@pytest.mark.parametrize(
+    ("changes", "keeps_connection"),
+    [
+        ({"connections": 20}, True),
+        ({"slots": 8}, True),
+        ({"port": 2}, False),
+        ({"born_ms": 5}, False),
+    ],
+)
+async def test_changed_limits_of_a_server_break_no_connection_in_use(
+    changes, keeps_connection
+):
+    """Guards against breaking off requests when a configuration changes a limit."""
+    board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
+    server = BackendServer("s", "g", "h", 1, "a", 4, 40)
+
+    async def open_connection():
+        return IdleConnection()
+
+    access = ServerAccess(
+        board,
+        Metrics("n"),
+        lambda: 10.0,
+        lambda item: ServerPool(item, open_connection, lambda: 10.0),
+    )
+    member = Member("n", "n-1", "a", "", "", 0, True)
+    board.fleet = Fleet(1, {"n": member}, {}, {"g": GroupTerm("g", 1, "s")})
+
+    def declare(version, declared):
+        board.inventory = Inventory(
+            version=version,
+            groups_by_id={"g": DatabaseGroup("g", "g", (), ("s",), 1)},
+            servers_by_id={"s": declared},
+        )
+        access.follow_board(True)
+
+    declare(1, server)
+    pool = access.pools.pools_by_server["s"]
+    pool.allow(10)
+    lease = await pool.borrow("c", 10, 20.0, 0)
+    changed = dataclasses.replace(server, **changes)
+    declare(2, changed)
+    assert lease.connection.is_usable is keeps_connection
+    assert access.pools.pools_by_server["s"].server == changed
+    assert (access.pools.pools_by_server["s"] is pool) is keeps_connection
