Stop bench: a process that ends at its limit has answered every request

Real process, five transactions in use until 5.0 s after SIGTERM, then silent servers: commits end as unknown, statements as rolled back, before the process ends within its grace period. At the end of a stop, connections whose callers have not closed them are broken at once instead of waiting for them.

--- a/bench/stops.py
+++ b/bench/stops.py
@@ -21,7 +21,7 @@
 
 import click
 
-from bench.platform_cluster import ZONES, put_configuration
+from bench.platform_cluster import ZONES, LineClient, put_configuration
 from bench.soak import EntryVm
 from standins.line_server import ServerGroup
 from standins.object_store import ObjectStoreStandIn
@@ -217,7 +217,7 @@
     async def run(self) -> list[str]:
         """Run and return every broken promise."""
         try:
-            await self._start()
+            await self.start()
             callers = [Caller(self, number) for number in range(CALLERS)]
             tasks = [asyncio.create_task(caller.run()) for caller in callers]
             for _ in range(self.rounds):
@@ -229,14 +229,19 @@
             self._check_logs()
             return self.history.broken
         finally:
-            self.is_over = True
-            for vm in self.vms:
-                vm.stop()
-                await vm.link.stop()
-            await self.group.stop()
-            await self.store.stop()
+            await self.stop()
+
+    async def stop(self) -> None:
+        """Kill the processes and stop the stand-ins."""
+        self.is_over = True
+        for vm in self.vms:
+            vm.stop()
+            await vm.link.stop()
+        await self.group.stop()
+        await self.store.stop()
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Start the stand-ins and the processes, and wait until they serve."""
         await self.store.start()
         await self.group.start()
         self.store.register_group(self.group)
@@ -258,6 +263,21 @@
             if time.monotonic() > deadline_s:
                 raise TimeoutError(f"vm-{vm.number} is not ready")
             await asyncio.sleep(0.05)
+        while await self._write_once(vm):
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f"vm-{vm.number} does not accept writes")
+            await asyncio.sleep(0.05)
+
+    async def _write_once(self, vm: EntryVm) -> str:
+        """Return the error of a write, or empty."""
+        try:
+            client = await LineClient.connect(vm.callers_port, "main-db", host=vm.host)
+        except OSError as error:
+            # It has not begun to listen yet, or refused the session.
+            return str(error)
+        answer = await client.query("WRITE warm up")
+        client.close()
+        return answer.error
 
     def _read_log(self, vm: EntryVm) -> str:
         """Return what the latest process of an entry VM has logged."""
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -305,6 +305,7 @@
         self.metrics.close()
         report = self.listener.report_stop()
         report.sessions_at_start = sessions_at_start
+        await self.listener.abort()
         log.info(
             "stopped",
             node=self.settings.node_id,
--- a/pollencleat/engine/listener.py
+++ b/pollencleat/engine/listener.py
@@ -117,6 +117,7 @@
         self._max_message_bytes = max_message_bytes
         self._server: asyncio.Server | None = None
         self.connections: set[SessionConnection] = set()
+        self._recorded: set[SessionConnection] = set()
         self._accepted = 0
         self.port = 0
         self.stop_report = StopReport()
@@ -156,13 +157,14 @@
         finally:
             if not await close_when_sent(writer, SEND_LIMIT_S):
                 self._access.metrics.count("connection_broken", "answers not sent")
-            if connection in self.connections:
-                self.connections.discard(connection)
-                self._record_end(connection)
+            self._record_end(connection)
+            self.connections.discard(connection)
+            self._recorded.discard(connection)
 
     def _record_end(self, connection: SessionConnection) -> None:
-        if connection.end is None:
+        if connection.end is None or connection in self._recorded:
             return
+        self._recorded.add(connection)
         record_end(self._access.metrics, connection.end)
         self.stop_report.add(connection.end)
         self.stop_report.unsent_bytes += connection.unsent_bytes
@@ -265,7 +267,6 @@
 
     def report_stop(self) -> StopReport:
         """Return what the drain did, sessions that are still open included."""
-        for connection in list(self.connections):
-            self.connections.discard(connection)
+        for connection in self.connections:
             self._record_end(connection)
         return self.stop_report
