Planned stop: refuse only requests whose callers were told the end

A request that the process reads after it gave up a session at the very end of a stop, without having told its caller, would have been completed with READY but without the error that answers it (read in the code; callers send one request at a time, so that it needs one that does not). The end of a session and its announcement are now two facts.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -468,6 +468,20 @@
     assert await draining
 
 
+async def test_request_of_which_a_part_has_arrived_is_answered_during_a_drain(cluster):
+    """Guards against closing a session in the middle of a request."""
+    (client,) = await connect_idle_sessions(cluster, 1)
+    client.writer.write(f"QUERY {client.next_id()} WRITE k0 as-it".encode())
+    await asyncio.sleep(0.05)
+    draining = asyncio.create_task(cluster.nodes[0].listener.drain(2.0, 1.0))
+    await asyncio.sleep(CLOSE_IDLE_AFTER_S)
+    client.writer.write(b"-ends\r\n")
+    (answer,) = await read_answers_as_the_session_ends(cluster, [client])
+    assert (answer.error, answer.state) == ("", "I")
+    assert await is_told_to_leave(client)
+    assert await draining
+
+
 async def test_request_in_transit_to_a_session_that_is_moved_is_answered(cluster):
     """Guards against closing an idle session while its next request is in transit."""
     clients = await connect_idle_sessions(cluster, 20)
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -78,6 +78,7 @@
         self.opened_at_s = self._last_used_s
         self._is_finishing = False
         self._is_closing = False
+        self._is_end_announced = False
         self._leave_timer: asyncio.TimerHandle | None = None
         self.executor: SessionExecutor | None = None
         self.end: SessionEnd | None = None
@@ -88,7 +89,7 @@
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
                 line = await read_line(self._reader)
-            if line is None or self.end is not None:
+            if line is None or self._is_end_announced:
                 return
             async with self._lock:
                 is_started = await self._start(line)
@@ -145,7 +146,7 @@
         line = await read_line(self._reader)
         if line is None or line.startswith("TERMINATE"):
             return False
-        if self.end is not None:
+        if self._is_end_announced:
             await self._refuse(line)
             return True
         self._last_used_s = self._access.clock()
@@ -252,6 +253,7 @@
         if self.end is not None or self._writer.transport.is_closing():
             return
         self._note_end(reason, activity or self._activity())
+        self._is_end_announced = True
         # If the connection has just broken, the next read reports it.
         with contextlib.suppress(ConnectionResetError):
             self._write_announcement(reason)
