Numbers and tokens in administration requests are checked before their use

Operators saw: status 500 for a version of 5,000 digits and for a token that is no text, an explanation for an age of NaN or without bound, and version numbers in other scripts' digits. No process ended.

Nested bodies were answered with 400 already.

Why this works: numbers of a request are ASCII digits that fit into 64 bits, ages are finite, and the presented token is compared as the bytes that arrived.

--- a/bench/operators_test.py
+++ b/bench/operators_test.py
@@ -79,6 +79,50 @@
     assert code == 3 and "unknown group" in errors
 
 
+NESTED = "[" * 100_000 + "]" * 100_000
+ODD_REQUESTS = [
+    ("GET", "/v1/inventory/versions/٣", None),
+    ("GET", "/v1/inventory/versions/" + "9" * 5_000, None),
+    ("GET", "/v1/explain?group=g&max_age_ms=nan", None),
+    ("GET", "/v1/explain?group=g&max_age_ms=1e999", None),
+    ("GET", "/v1/explain?group=g&floor=" + "9" * 5_000, None),
+    ("GET", "/v1/explain?group=g&floor=" + "9" * 400, None),
+    ("POST", "/v1/inventory/check", NESTED),
+    ("POST", "/v1/inventory/check", '{"text": ' + NESTED + "}"),
+    ("POST", "/v1/inventory/rollback", '{"to_version": 1e999}'),
+    (
+        "POST",
+        "/v1/inventory/rollback",
+        '{"expected_version": 1, "to_version": ' + "9" * 400 + "}",
+    ),
+    ("PUT", "/v1/inventory", '{"text": "", "expected_version": -1}'),
+    ("PUT", "/v1/inventory", '{"text": "\\ud800", "expected_version": 1}'),
+]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"), ODD_REQUESTS, ids=lambda x: str(x)[:30]
+)
+async def test_odd_number_or_body_is_answered_with_a_client_error(
+    deployment, method, path, body
+):
+    status, text = await call_api(deployment, method, path, data=body)
+    assert status in (400, 422), text[:200]
+
+
+async def test_token_that_is_no_text_is_answered_as_unknown(deployment):
+    """Guards against an error of the comparison itself, which was answered with 500."""
+    host, _, port = (
+        deployment.nodes["n0"].admin.address.removeprefix("http://").rpartition(":")
+    )
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"GET /v1/status HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer \xff\xfe\r\n\r\n"
+    )
+    assert b" 401 " in await reader.readline()
+    writer.close()
+
+
 async def test_inventory_conflict_shows_the_difference_and_rollback_is_recorded(
     deployment, cli, tmp_path
 ):
--- a/pollencleat/administration/models.py
+++ b/pollencleat/administration/models.py
@@ -1,7 +1,12 @@
 """Request bodies of the administration API."""
 
+from typing import Annotated
+
 import pydantic
 
+MAX_VERSION = (1 << 63) - 1
+Version = Annotated[int, pydantic.Field(ge=0, le=MAX_VERSION)]
+
 
 class ApplyBody(pydantic.BaseModel):
     """A new inventory to apply.
@@ -16,7 +21,7 @@
     model_config = pydantic.ConfigDict(extra="forbid")
 
     text: str
-    expected_version: int
+    expected_version: Version
     cause: str = ""
     change_id: str = ""
 
@@ -26,8 +31,8 @@
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
-    to_version: int
-    expected_version: int
+    to_version: Version
+    expected_version: Version
     cause: str = ""
 
 
--- a/pollencleat/administration/routes.py
+++ b/pollencleat/administration/routes.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 import difflib
+import math
+import re
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -26,6 +28,11 @@
 )
 from pollencleat.store.objects import INVENTORY_NAME, decode_inventory
 
+MAX_NUMBER_DIGITS = 18
+"""Most digits of a number in a request; every such number fits into 64 bits."""
+
+_NUMBER = re.compile(rf"[0-9]{{1,{MAX_NUMBER_DIGITS}}}")
+
 Handler = Callable[[AdministeredNode, web.Request, str], Awaitable[web.Response]]
 
 
@@ -123,11 +130,11 @@
         raise web.HTTPNotFound(text=f"unknown group {group_id!r}")
     try:
         max_age_s = float(request.query.get("max_age_ms", "10000")) / 1000
-        floor = int(request.query.get("floor", "0"))
     except ValueError as error:
-        raise web.HTTPBadRequest(
-            text=f"max_age_ms or floor is not a number: {error}"
-        ) from error
+        raise web.HTTPBadRequest(text=f"max_age_ms is not a number: {error}") from error
+    if not math.isfinite(max_age_s):
+        raise web.HTTPBadRequest(text="max_age_ms is not finite")
+    floor = _parse_number(request.query.get("floor", "0"), "floor")
     read = ReadRequest(group_id, floor, max_age_s)
     return make_json_response(explain_route(node.board, read, node.timers.clock()))
 
@@ -138,16 +145,22 @@
     return _make_inventory_response(decode_inventory(stored))
 
 
+def _parse_number(text: str, name: str) -> int:
+    if not _NUMBER.fullmatch(text):
+        raise web.HTTPBadRequest(
+            text=f"{name} must be a number of at most {MAX_NUMBER_DIGITS} digits"
+        )
+    return int(text)
+
+
 def _make_inventory_response(inventory) -> web.Response:
     return make_json_response({"version": inventory.version, "text": inventory.source})
 
 
 @operation("GET", "/v1/inventory/versions/{version}", "read", "A former inventory")
 async def _inventory_version(node: AdministeredNode, request: web.Request, author: str):
-    version = request.match_info["version"]
-    if not version.isdecimal():
-        raise web.HTTPBadRequest(text="the inventory version must be a decimal number")
-    inventory = await read_former_inventory(node.store, int(version))
+    version = _parse_number(request.match_info["version"], "the inventory version")
+    inventory = await read_former_inventory(node.store, version)
     if inventory is None:
         raise web.HTTPNotFound(text=f"inventory version {version} is not stored")
     return _make_inventory_response(inventory)
--- a/pollencleat/administration/server.py
+++ b/pollencleat/administration/server.py
@@ -102,7 +102,8 @@
         for admin_token in self._tokens:
             # Every token is compared, so that timing does not reveal a match.
             if hmac.compare_digest(
-                presented_token.encode(), admin_token.token.encode()
+                presented_token.encode(errors="surrogateescape"),
+                admin_token.token.encode(),
             ):
                 author = admin_token.name
                 has_role = role in admin_token.roles
