Odd numbers of servers and callers raise typed errors in the SQL path

Callers saw: a session that ended with an unexpected error after a hint such as max_age_ms with 5,000 digits; a server whose status held no number, or one beyond 64 bits, failed its probe or the sampler with an untyped error, and a position of 10**30 could not be passed on to peers.

Why this works: both borders accept ASCII digits that fit into 64 bits and raise their typed error otherwise, as those of the line protocol did before.

--- a/pollencleat/backend/operations.py
+++ b/pollencleat/backend/operations.py
@@ -4,6 +4,8 @@
 fencing, promotion and following a primary.
 """
 
+from collections.abc import Sequence
+
 from pollencleat.backend.connection import BackendConnection
 from pollencleat.core.data import ServerStatus
 from pollencleat.core.errors import BackendError
@@ -14,6 +16,25 @@
 )
 POSITION_SQL = "SELECT @@server_term, @@log_position"
 
+MAX_NUMBER = 10**18 - 1
+"""Largest number accepted from a server; every such number fits into 64 bits."""
+
+
+def _first_row(rows: object) -> Sequence:
+    """Return the first row of a result; empty if there is none."""
+    return rows[0] if isinstance(rows, list) and rows else ()
+
+
+def _parse_numbers(values: Sequence, count: int) -> list[int]:
+    """Return the numbers of a row; other values raise BackendError."""
+    try:
+        numbers = [int(value) for value in values]
+    except (TypeError, ValueError) as error:
+        raise BackendError(f"malformed numbers from the server: {error}") from error
+    if len(numbers) != count or not all(0 <= n <= MAX_NUMBER for n in numbers):
+        raise BackendError("numbers from the server are missing or out of range")
+    return numbers
+
 
 async def read_status(connection: BackendConnection) -> ServerStatus:
     """Read a server's replication status.
@@ -30,14 +51,10 @@
     rows = await connection.run(STATUS_SQL)
     if not isinstance(rows, list) or len(rows) != 1:
         raise BackendError("malformed status answer: expected one row")
-    term, position, received, entry_term, read_only, following = rows[0]
+    *numbers, following = rows[0]
+    term, position, received, entry_term, read_only = _parse_numbers(numbers, 5)
     return ServerStatus(
-        int(term),
-        int(position),
-        int(received),
-        int(entry_term),
-        bool(int(read_only)),
-        str(following or ""),
+        term, position, received, entry_term, bool(read_only), str(following or "")
     )
 
 
@@ -49,10 +66,13 @@
 
     Returns:
         The term and the applied log position.
+
+    Raises:
+        BackendError: The result is malformed, or the statement failed.
     """
     rows = await connection.run(POSITION_SQL)
-    term, position = rows[0]
-    return int(term), int(position)
+    term, position = _parse_numbers(_first_row(rows), 2)
+    return term, position
 
 
 async def fence_server(connection: BackendConnection, term: int) -> None:
@@ -74,9 +94,12 @@
 
     Returns:
         The log position from which it accepts writes.
+
+    Raises:
+        BackendError: The result is malformed, or the server refused.
     """
     rows = await connection.run(f"PROMOTE TO TERM {term}")
-    return int(rows[0][0])
+    return _parse_numbers(_first_row(rows)[:1], 1)[0]
 
 
 async def follow_primary(
--- a/pollencleat/routing/statements.py
+++ b/pollencleat/routing/statements.py
@@ -67,11 +67,15 @@
     reason: str = ""
 
 
+MAX_AGE_DIGITS = 12
+"""Most digits of a number of milliseconds in a hint."""
+
 _COMMENT = re.compile(r"/\*.*?\*/|--[ \t][^\n]*(?:\n|$)|#[^\n]*(?:\n|$)", re.DOTALL)
 _LEADING_COMMENTS = re.compile(
     r"(?:\s+|/\*(?!!).*?\*/|--[ \t][^\n]*(?:\n|$)|#[^\n]*(?:\n|$))+", re.DOTALL
 )
 _HINT = re.compile(r"/\*\s*pollencleat:(?P<body>[^*]*)\*/")
+_AGE_MS = re.compile(rf"[0-9]{{1,{MAX_AGE_DIGITS}}}")
 _WORD = re.compile(r"\(*\s*([A-Za-z]+)")
 _QUOTED = re.compile(r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|`[^`]*`")
 _LOCKING_OR_INTO = re.compile(
@@ -219,8 +223,10 @@
             raise InvalidHintError(f"unknown hint {key!r}")
     max_age_ms = None
     if "max_age_ms" in values:
-        if not values["max_age_ms"].isdecimal():
-            raise InvalidHintError("hint max_age_ms is not a whole number")
+        if not _AGE_MS.fullmatch(values["max_age_ms"]):
+            raise InvalidHintError(
+                f"hint max_age_ms is no whole number of at most {MAX_AGE_DIGITS} digits"
+            )
         max_age_ms = int(values["max_age_ms"])
     if len(values.get("request_id", "")) > 64:
         raise InvalidHintError("hint request_id is longer than 64 characters")
--- a/pollencleat/routing/statements_test.py
+++ b/pollencleat/routing/statements_test.py
@@ -6,6 +6,13 @@
 from pollencleat.routing.statements import Action, classify_statement
 
 
+@pytest.mark.parametrize("number", ["9" * 5_000, "9" * 400, "٣", "²", "1e9", "-1"])
+def test_odd_age_limit_in_a_hint_raises_a_typed_error(number):
+    """A number that no int or float can hold ended the caller's session."""
+    with pytest.raises(InvalidHintError):
+        classify_statement(f"/* pollencleat: max_age_ms={number} */ SELECT 1")
+
+
 @pytest.mark.parametrize(
     ("text", "action"),
     [
--- a/pollencleat/routing/tokens.py
+++ b/pollencleat/routing/tokens.py
@@ -7,8 +7,8 @@
 from pollencleat.core.errors import InvalidHintError, SessionHistoryLostError
 
 _TOKEN = re.compile(
-    r"^(?P<group>[A-Za-z0-9][A-Za-z0-9._-]{0,62}):(?P<term>\d{1,9}):"
-    r"(?P<position>\d{1,18})$"
+    r"^(?P<group>[A-Za-z0-9][A-Za-z0-9._-]{0,62}):(?P<term>[0-9]{1,9}):"
+    r"(?P<position>[0-9]{1,18})\Z"
 )
 
 
--- a/pollencleat/routing/tokens_test.py
+++ b/pollencleat/routing/tokens_test.py
@@ -20,6 +20,14 @@
     assert parse_token(format_token(token)) == token
 
 
+@pytest.mark.parametrize(
+    "text", ["g:٣:1", "g:1:٣", "g:²:1", "g:1:1\n", "g:1:" + "9" * 19]
+)
+def test_number_that_format_token_never_writes_is_refused(text):
+    with pytest.raises(InvalidHintError):
+        parse_token(text)
+
+
 @given(st.text())
 def test_any_text_is_a_token_or_raises_invalid_hint_error(text):
     try:
