--- a/pollencleat/platform/borders_test.py
+++ b/pollencleat/platform/borders_test.py
@@ -80,6 +80,9 @@
         "a" * 70_000 + ":80",
         "a\0b:80",
         "a b:80",
+        "a..b:80",
+        ".:80",
+        "a" * 64 + ":80",
         ":80",
     ]
 )
@@ -120,7 +123,8 @@
     with contextlib.suppress(StoreError):
         server, _ = decode_server(make_object({**ENTRY, field: value}))
         assert 0 < server.port < 65_536
-        assert 0 < len(server.host) <= 253 and server.host.isascii()
+        assert 0 < len(server.host) <= 253
+        server.host.encode("idna")
         assert 0 <= server.slots <= 100_000
         assert 0 <= server.born_ms < 2**63
         for name in (server.group_id, server.failure_domain, server.server_id):
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -15,7 +15,8 @@
 MAX_HOST_CHARACTERS = 253
 """Longest name that DNS allows."""
 
-_HOST = re.compile(rf"[0-9A-Za-z._:%\[\]-]{{1,{MAX_HOST_CHARACTERS}}}")
+_LABEL = r"[0-9A-Za-z_-]{1,63}"
+_HOST = re.compile(rf"{_LABEL}(?:\.{_LABEL})*\.?|\[?[0-9A-Fa-f:]{{2,39}}\]?")
 _PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -159,7 +160,11 @@
         ValueError: The text has another form, or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port):
+    if (
+        len(host) > MAX_HOST_CHARACTERS
+        or not _HOST.fullmatch(host)
+        or not _PORT.fullmatch(port)
+    ):
         raise ValueError(f"expected host:port, got {text[:MAX_HOST_CHARACTERS]!r}")
     if not 0 < int(port) <= MAX_PORT:
         raise ValueError(f"port {port} is out of range")
