A malformed inventory does not hide the fleet state of the same read

Callers saw (on this project's own object API, not on the users' platform): no node could renew its permit from the platform while the inventory object was malformed, and after the outage limit writes were refused. Fleet state, inventory and VM list are read together, and one error failed all three, at every read. Versions and numbers of the fleet state beyond 64 bits were adopted and could not be sent to peers.

Why this works: a malformed inventory or VM list leaves the known one in force, logged once per reason; only the fleet state, on which permits rest, fails a read. Versions and the fleet state are checked as on the users' platform.

--- a/pollencleat/store/client.py
+++ b/pollencleat/store/client.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import aiohttp
 import pydantic
@@ -20,6 +21,9 @@
 MAX_OBJECT_BYTES = 1_000_000
 """Largest value that the platform stores."""
 
+MAX_VERSION = (1 << 63) - 1
+"""Largest version that fits into a message to a peer."""
+
 NOT_MODIFIED = 304
 NOT_FOUND = 404
 CONFLICT = 409
@@ -34,13 +38,16 @@
     value: str
 
 
+Version = Annotated[int, pydantic.Field(ge=0, le=MAX_VERSION)]
+
+
 class _ObjectAnswer(pydantic.BaseModel):
-    version: int
+    version: Version
     value: str
 
 
 class _VersionAnswer(pydantic.BaseModel):
-    version: int
+    version: Version
 
 
 class _ListAnswer(pydantic.BaseModel):
@@ -50,7 +57,7 @@
 class VmListAnswer(pydantic.BaseModel):
     """The platform's list of virtual machines."""
 
-    version: int
+    version: Version
     live: tuple[str, ...]
     leaving: tuple[str, ...]
 
--- a/pollencleat/store/objects.py
+++ b/pollencleat/store/objects.py
@@ -2,22 +2,41 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pydantic
+import structlog
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import AuditEntry, Fleet, Inventory, VmList
-from pollencleat.core.errors import StoreError
+from pollencleat.core.data import (
+    AuditEntry,
+    Fleet,
+    Inventory,
+    VmList,
+    find_fleet_problem,
+)
+from pollencleat.core.errors import (
+    InventoryError,
+    StoreError,
+    StoreUnavailableError,
+)
 from pollencleat.core.ports import PlatformState
 from pollencleat.inventory.parser import parse_inventory
 from pollencleat.store.client import StoreClient, StoredObject
 
+T = TypeVar("T", Inventory, VmList)
+
 FLEET_NAME = "fleet"
 INVENTORY_NAME = "inventory"
 HISTORY_PREFIX = "inventory-history/"
 MAX_FORMER_INVENTORIES = 1000
 """Former inventories that are kept for listing and rollback."""
 
+MAX_REASON_CHARACTERS = 200
+
+log = structlog.get_logger()
+
 _fleet_adapter = pydantic.TypeAdapter(Fleet)
 
 
@@ -58,6 +77,9 @@
         fleet = _fleet_adapter.validate_json(stored.value)
     except pydantic.ValidationError as error:
         raise StoreError(f"malformed fleet state: {error}") from error
+    problem = find_fleet_problem(fleet)
+    if problem:
+        raise StoreError(f"malformed fleet state: {problem}")
     return dataclasses.replace(fleet, version=stored.version)
 
 
@@ -134,6 +156,7 @@
     def __init__(self, client: StoreClient) -> None:
         """Use a client."""
         self._client = client
+        self._refusals_by_name: dict[str, str] = {}
 
     async def read_state(self, board: Blackboard) -> PlatformState:
         """Read fleet state, inventory and VM list.
@@ -146,14 +169,34 @@
 
         Raises:
             StoreUnavailableError: No answer.
+            StoreError: The fleet state is malformed; a malformed inventory or VM list
+                leaves the known one in force.
         """
         fleet, inventory, vms = await asyncio.gather(
             read_fleet(self._client, board.fleet),
-            read_inventory(self._client, board.declared_inventory),
-            read_vm_list(self._client, board.vms),
+            self._read_or_keep(read_inventory, board.declared_inventory),
+            self._read_or_keep(read_vm_list, board.vms),
         )
         return PlatformState(fleet, inventory, vms)
 
+    async def _read_or_keep(
+        self, read: Callable[[StoreClient, T], Awaitable[T]], known: T
+    ) -> T:
+        """Read an object; if it is malformed, log that once and keep the known one."""
+        kind = type(known).__name__
+        try:
+            newest = await read(self._client, known)
+        except StoreUnavailableError:
+            raise
+        except (StoreError, InventoryError) as error:
+            reason = str(error)[:MAX_REASON_CHARACTERS]
+            if self._refusals_by_name.get(kind) != reason:
+                log.warning("object refused", kind=kind, reason=reason)
+            self._refusals_by_name[kind] = reason
+            return known
+        self._refusals_by_name.pop(kind, None)
+        return newest
+
     async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
         """Replace the fleet state if its version is the expected one.
 
