Nested lease arguments and unexpected ends of a probe are handled as such

Found while looking for the same cause elsewhere. A nested field in the arguments of a call on a leased connection raised RecursionError, which is no MsgspecError, and a probe that ended with an error other than BackendError left its request open: the server counted as silent right after each of its answers.

Evidence, before the fix:

FAILED platform/borders_test.py::test_nested_arguments_of_a_lease_raise_a_typed_error E RecursionError: maximum recursion depth exceeded while deserializing an object FAILED backend/liveness_test.py::test_probe_that_ends_with_an_unexpected_error_ leaves_no_open_request E assert 1 == 0

--- a/pollencleat/backend/liveness.py
+++ b/pollencleat/backend/liveness.py
@@ -157,6 +157,9 @@
                 log.info("dependency lost", dependency=server_id, reason=str(error))
             record_status_failure(board, server_id, refused, self._clock())
             return
+        except BaseException:
+            view.record_request_ended(self._clock(), False)
+            raise
         if view.refused_at_s is not None:
             log.info("dependency regained", dependency=server_id)
         view.record_request_ended(self._clock(), True)
--- a/pollencleat/backend/liveness_test.py
+++ b/pollencleat/backend/liveness_test.py
@@ -99,3 +99,22 @@
     await run_for(controller, clock, 3.0)
     assert board.server_view("p").unanswered_for_s(clock["now"]) == 0.0
     assert clock["now"] - board.server_view("p").answered_at_s < 3.0
+
+
+async def test_probe_that_ends_with_an_unexpected_error_leaves_no_open_request(clock):
+    """The server counted as silent right after each of its answers."""
+    board, controller, orders = make_controller("n0", clock)
+
+    async def fail(server_id):
+        raise OverflowError("port must be 0-65535")
+
+    orders.read_status = fail
+    controller.probe_now("p")
+    with pytest.raises(OverflowError):
+        await controller._tasks_by_server["p"]
+    view = board.server_view("p")
+    assert view.open_requests == 0
+    view.record_request(clock["now"])
+    view.record_request_ended(clock["now"], True)
+    clock["now"] += 5.0
+    assert view.unanswered_for_s(clock["now"]) == 0
--- a/pollencleat/hops/calls.py
+++ b/pollencleat/hops/calls.py
@@ -31,6 +31,10 @@
 }
 _read_decoder = msgspec.msgpack.Decoder(tuple[Work, Shape | None, Position | None])
 _encoder = msgspec.msgpack.Encoder()
+
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+"""What a decoder raises; the second for values that are nested too deeply."""
+
 _reply_decoder = msgspec.msgpack.Decoder(ServerReply)
 
 
@@ -58,7 +62,7 @@
         raise BackendLostError(f"unknown call {call[:20]!r}")
     try:
         values = decoder.decode(arguments)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise BackendLostError(
             f"malformed arguments of call {call}: {error}"
         ) from error
@@ -80,7 +84,7 @@
     """
     try:
         return _read_decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise BackendLostError(f"malformed read request: {error}") from error
 
 
@@ -103,7 +107,7 @@
     """
     try:
         return _reply_decoder.decode(payload)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise BackendLostError(f"malformed server reply: {error}") from error
 
 
--- a/pollencleat/platform/borders_test.py
+++ b/pollencleat/platform/borders_test.py
@@ -11,14 +11,17 @@
 from pollencleat.core.data import VmList
 from pollencleat.core.errors import (
     BackendError,
+    BackendLostError,
     MalformedStatementError,
     StoreError,
 )
 from pollencleat.core.messages import State, decode_message, encode_message
+from pollencleat.hops.calls import decode_read, decode_reply, start_call
 from pollencleat.platform.objects import (
     ObjectEvent,
     ObjectMeta,
     StoredObject,
+    _decode_entries,
     _decode_readable,
     _ListPage,
 )
@@ -213,6 +216,63 @@
         parse_status(f"replica {number} 1.1 0 1 1 1")
 
 
+ODD_ENTRIES = st.sampled_from(
+    [
+        b"[" * 5_000 + b"]" * 5_000,
+        b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+        b"NaN",
+        b"-Infinity",
+        b"1e999",
+        b"9" * 5_000,
+        b'"\\ud800"',
+        b'"\x01"',
+        b'"\xff"',
+        b'"]}"',
+        b'"\\"[{"',
+        b"[0]",
+        b"[7]",
+    ]
+)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 4), ODD_ENTRIES | JSON.map(json.dumps).map(str.encode))
+    )
+)
+def test_objects_beside_odd_ones_are_read(entries):
+    """Each odd value stands in the place of an object, or of one of its fields."""
+    items = []
+    good = []
+    for number, (place, odd) in enumerate(entries):
+        name = b'"meta":{"name":"%d","revision":1}' % number
+        good.append(str(number))
+        items.append(b'{%b,"spec":{}}' % name)
+        items.append(
+            (
+                b"[%b]" % odd,
+                b'{"meta":%b,"spec":{}}' % odd,
+                b'{"meta":{"name":%b,"revision":1},"spec":{}}' % odd,
+                b'{"meta":{"name":"odd","revision":%b},"spec":{}}' % odd,
+                b'{"spec":{"a":{"b":%b}},"meta":{"name":"odd","revision":1}}' % odd,
+            )[place]
+        )
+    body = b'{"items":[%b],"current_rev":2}' % b",".join(items)
+    page = _decode_entries(body, _ListPage)
+    names = [item.meta.name for item in _decode_readable(page.items, StoredObject)]
+    assert set(good) <= set(names)
+
+
+def test_nested_arguments_of_a_lease_raise_a_typed_error():
+    nested = b"\x81\xa1x" + b"\x91" * 100_000 + b"\xc0"
+    with pytest.raises(BackendLostError):
+        decode_read(b"\x93" + nested + b"\xc0\xc0")
+    with pytest.raises(BackendLostError):
+        decode_reply(nested)
+    with pytest.raises(BackendLostError):
+        start_call(None, "commit", b"\x91" + nested)
+
+
 @pytest.mark.parametrize(
     "broken",
     [b'{"meta": 1}', b'{"meta":{"name":"x","revision":1},"spec":"\xff"}', b"7"],
