--- a/pollencleat/core/messages.py
+++ b/pollencleat/core/messages.py
@@ -7,7 +7,6 @@
 
 import zlib
 from dataclasses import dataclass
-from typing import Annotated
 
 import msgspec
 
@@ -19,10 +18,7 @@
     VmList,
     find_fleet_problem,
 )
-
-MAX_SECONDS = 1e12
-Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
-"""A finite clock value or duration."""
+from pollencleat.core.ranges import Seconds
 
 
 class Versions(msgspec.Struct, frozen=True, array_like=True):
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -25,6 +25,7 @@
     ReadRequest,
     RequestAtWork,
 )
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.daemon.readiness import (
     OUT_OF_ROTATION_AFTER_S,
@@ -41,7 +42,7 @@
 from pollencleat.peers.transport import make_curve_keys
 from pollencleat.platform.clients import ClientConnection
 from pollencleat.platform.endpoints import HttpEndpoints
-from pollencleat.platform.objects import ObjectClient, RefusedObjects
+from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.orders import PlatformOrders
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import (
--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from pollencleat.core.nesting import find_nested, split_nested
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.core.versions import (
     MAX_ERA,
     MAX_REVISION,
@@ -41,12 +42,6 @@
 ENTRIES_DEPTH = 2
 """Arrays and objects around the entries of a list or watch answer."""
 
-MAX_REASON_CHARACTERS = 200
-"""Longest reason in the log; malformed values are quoted in it."""
-
-MAX_REFUSED = 1_000
-"""Refused objects that are remembered, so that each is logged once."""
-
 ERA_HEADER = "store-era"
 """Header of all answers; rises by one when the store comes back from an older copy."""
 
@@ -128,35 +123,6 @@
     version: int
 
 
-class RefusedObjects:
-    """Objects of other writers that cannot be used; logs and counts each once."""
-
-    def __init__(self, count: Callable[[str], None] = lambda kind: None) -> None:
-        """Call count with the kind of each refused object."""
-        self._count = count
-        self._reasons_by_object: dict[tuple[str, str], str] = {}
-
-    def refuse(self, kind: str, name: str, reason: str) -> None:
-        """Log and count an object, unless it was refused for the same reason before.
-
-        Args:
-            kind: Its kind.
-            name: Its name; empty if it cannot be read.
-            reason: Why it cannot be used.
-        """
-        reason = reason[:MAX_REASON_CHARACTERS]
-        if self._reasons_by_object.pop((kind, name), None) != reason:
-            self._count(kind)
-            log.warning("object refused", kind=kind, name=name[:80], reason=reason)
-        self._reasons_by_object[(kind, name)] = reason
-        while len(self._reasons_by_object) > MAX_REFUSED:
-            del self._reasons_by_object[next(iter(self._reasons_by_object))]
-
-    def accept(self, kind: str, name: str) -> None:
-        """Forget an object that was used or removed."""
-        self._reasons_by_object.pop((kind, name), None)
-
-
 class ObjectClient:
     """HTTP client of the platform's store.
 
--- a/pollencleat/platform/objects_test.py
+++ b/pollencleat/platform/objects_test.py
@@ -5,8 +5,9 @@
 import pytest
 
 from pollencleat.core.errors import StoreError
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.platform import objects
-from pollencleat.platform.objects import ObjectClient, RefusedObjects
+from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.settings import Endpoint
 from standins.object_store import ObjectStoreStandIn, RawJson
 
--- a/pollencleat/platform/records.py
+++ b/pollencleat/platform/records.py
@@ -1,7 +1,5 @@
 """Decodes the objects that operators and servers write into the store."""
 
-from typing import Annotated
-
 import msgspec
 
 from pollencleat.core.data import (
@@ -13,6 +11,7 @@
     Rules,
 )
 from pollencleat.core.errors import StoreError
+from pollencleat.core.ranges import Count, DurationMs, Name, Number, Priority
 from pollencleat.platform.objects import Json, StoredObject
 from pollencleat.platform.settings import parse_endpoint
 
@@ -26,25 +25,6 @@
 DEFAULT_CONNECTIONS = 20
 """Connections to a server whose group declares no limit."""
 
-MAX_NAME_CHARACTERS = 255
-MAX_NUMBER = (1 << 63) - 1
-"""Largest number that a message between nodes can carry in any field."""
-
-MAX_DURATION_MS = (1 << 31) - 1
-MAX_PRIORITY = 1_000_000
-MAX_SLOTS = 100_000
-MAX_CONNECTIONS = 1_000_000
-MAX_REPLICAS = 1_000
-
-Name = Annotated[
-    str,
-    msgspec.Meta(max_length=MAX_NAME_CHARACTERS, pattern=r"\A[^\x00-\x20\x7f]+\Z"),
-]
-"""Text that is one field of a line: not empty, no blank, no control character."""
-
-Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-DurationMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
-
 _freshness_by_kind = {
     "primary": Freshness.PRIMARY,
     "bounded_staleness": Freshness.BOUNDED_AGE,
@@ -59,16 +39,14 @@
     service: Name
     timeout_ms: DurationMs
     target_latency_ms: DurationMs
-    priority: Annotated[int, msgspec.Meta(ge=-MAX_PRIORITY, le=MAX_PRIORITY)] = 0
+    priority: Priority = 0
     max_staleness_ms: DurationMs = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: Name
-    connection_limit: Annotated[int, msgspec.Meta(ge=0, le=MAX_CONNECTIONS)] = (
-        DEFAULT_CONNECTIONS
-    )
-    sync_replica_count: Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLICAS)] = 0
+    connection_limit: Count = DEFAULT_CONNECTIONS
+    sync_replica_count: Count = 0
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -86,7 +64,7 @@
     service: Name
     address: str
     zone: Name
-    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+    slots: Count
     state: Name
     sequence: Number
     """Counts the entries written in one run of the server; not a log position."""
--- a/pollencleat/platform/store.py
+++ b/pollencleat/platform/store.py
@@ -20,6 +20,7 @@
 from pollencleat.core.errors import StoreError
 from pollencleat.core.faults import ErrorRecorder
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.core.versions import era_of, make_version, revision_of
 from pollencleat.membership.directory import ServerDirectory
 from pollencleat.platform.objects import (
@@ -28,7 +29,6 @@
     ObjectChanges,
     ObjectClient,
     ObjectList,
-    RefusedObjects,
     StoredObject,
 )
 from pollencleat.platform.records import decode_inventory, decode_server
--- a/pollencleat/store/objects.py
+++ b/pollencleat/store/objects.py
@@ -6,7 +6,6 @@
 from typing import TypeVar
 
 import pydantic
-import structlog
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.data import (
@@ -22,6 +21,7 @@
     StoreUnavailableError,
 )
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.inventory.parser import parse_inventory
 from pollencleat.store.client import StoreClient, StoredObject
 
@@ -33,10 +33,6 @@
 MAX_FORMER_INVENTORIES = 1000
 """Former inventories that are kept for listing and rollback."""
 
-MAX_REASON_CHARACTERS = 200
-
-log = structlog.get_logger()
-
 _fleet_adapter = pydantic.TypeAdapter(Fleet)
 
 
@@ -156,7 +152,7 @@
     def __init__(self, client: StoreClient) -> None:
         """Use a client."""
         self._client = client
-        self._refusals_by_name: dict[str, str] = {}
+        self._refused = RefusedObjects()
 
     async def read_state(self, board: Blackboard) -> PlatformState:
         """Read fleet state, inventory and VM list.
@@ -189,12 +185,9 @@
         except StoreUnavailableError:
             raise
         except (StoreError, InventoryError) as error:
-            reason = str(error)[:MAX_REASON_CHARACTERS]
-            if self._refusals_by_name.get(kind) != reason:
-                log.warning("object refused", kind=kind, reason=reason)
-            self._refusals_by_name[kind] = reason
+            self._refused.refuse(kind, "", str(error))
             return known
-        self._refusals_by_name.pop(kind, None)
+        self._refused.accept(kind, "")
         return newest
 
     async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
