--- a/pollencleat/core/nesting.py
+++ b/pollencleat/core/nesting.py
@@ -6,10 +6,12 @@
 
 import re
 
-_STRUCTURE = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{]++|[\]}]++', re.DOTALL)
-"""A string, or consecutive brackets of one direction."""
+_BRACKETS = re.compile(
+    rb'(?:[^"\[\]{}]++|"(?:[^"\\]++|\\.)*+"?)*+(?:([\[{]++|[\]}]++)|\Z)', re.DOTALL
+)
+"""The next consecutive brackets of one direction, after strings and other characters,
+or the end of the text."""
 
-_QUOTE = ord('"')
 _OPENING = b"[{"
 
 
@@ -28,10 +30,10 @@
     parts = []
     depth = 0
     kept_from = part_from = 0
-    for match in _STRUCTURE.finditer(text):
-        start, end = match.span()
-        if text[start] == _QUOTE:
-            continue
+    for match in _BRACKETS.finditer(text):
+        start, end = match.span(1)
+        if end < 0:
+            break
         count = end - start
         if text[start] in _OPENING:
             if depth <= max_depth < depth + count:
--- a/pollencleat/core/ranges.py
+++ b/pollencleat/core/ranges.py
@@ -19,6 +19,7 @@
 ]
 """Text that is one field of a line: not empty, no blank, no control character."""
 
+Text = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 """Number of things of which a server or a group has some."""
--- a/pollencleat/platform/records.py
+++ b/pollencleat/platform/records.py
@@ -11,7 +11,7 @@
     Rules,
 )
 from pollencleat.core.errors import StoreError
-from pollencleat.core.ranges import Count, DurationMs, Name, Number, Priority
+from pollencleat.core.ranges import Count, DurationMs, Name, Number, Priority, Text
 from pollencleat.platform.objects import Json, StoredObject
 from pollencleat.platform.settings import parse_endpoint
 
@@ -35,7 +35,7 @@
 class _Route(msgspec.Struct, frozen=True):
     host: Name
     """The database name that callers connect to, not an address."""
-    kind: Name
+    kind: Text
     service: Name
     timeout_ms: DurationMs
     target_latency_ms: DurationMs
@@ -63,12 +63,12 @@
 class _ServerEntry(msgspec.Struct, frozen=True):
     service: Name
     address: str
-    zone: Name
+    zone: Text
     slots: Count
-    state: Name
+    state: Text
     sequence: Number
     """Counts the entries written in one run of the server; not a log position."""
-    database_role: Name
+    database_role: Text
     born: Number = 0
     """Start of the server in Unix milliseconds; a changed value means an empty log."""
     cold_remaining_ms: float = 0
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -16,8 +16,9 @@
 """Longest name that DNS allows."""
 
 _LABEL = r"[0-9A-Za-z_-]{1,63}"
-_HOST = re.compile(rf"{_LABEL}(?:\.{_LABEL})*\.?|\[?[0-9A-Fa-f:]{{2,39}}\]?")
-_PORT = re.compile(r"[0-9]{1,5}")
+_ENDPOINT = re.compile(
+    rf"({_LABEL}(?:\.{_LABEL})*\.?|\[?[0-9A-Fa-f:]{{2,39}}\]?):([0-9]{{1,5}})"
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,13 +160,10 @@
     Raises:
         ValueError: The text has another form, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if (
-        len(host) > MAX_HOST_CHARACTERS
-        or not _HOST.fullmatch(host)
-        or not _PORT.fullmatch(port)
-    ):
+    match = _ENDPOINT.fullmatch(text)
+    if match is None or len(match[1]) > MAX_HOST_CHARACTERS:
         raise ValueError(f"expected host:port, got {text[:MAX_HOST_CHARACTERS]!r}")
-    if not 0 < int(port) <= MAX_PORT:
+    port = int(match[2])
+    if not 0 < port <= MAX_PORT:
         raise ValueError(f"port {port} is out of range")
-    return Endpoint(host, int(port))
+    return Endpoint(match[1], port)
