--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -15,8 +15,10 @@
 MAX_HOST_CHARACTERS = 253
 """Longest name that DNS allows."""
 
-_HOST = re.compile(rf"[0-9A-Za-z._:%\[\]-]{{1,{MAX_HOST_CHARACTERS}}}")
-_PORT = re.compile(r"[0-9]{1,5}")
+_LABEL = r"[0-9A-Za-z_-]{1,63}"
+_ENDPOINT = re.compile(
+    rf"({_LABEL}(?:\.{_LABEL})*\.?|\[?[0-9A-Fa-f:]{{2,39}}\]?):([0-9]{{1,5}})"
+)
 
 
 STATEMENT_DELAY_S = 1.0
@@ -169,9 +171,10 @@
     Raises:
         ValueError: The text has another form, or the port is out of range.
     """
-    host, _, port = text.rpartition(":")
-    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port):
+    match = _ENDPOINT.fullmatch(text)
+    if match is None or len(match[1]) > MAX_HOST_CHARACTERS:
         raise ValueError(f"expected host:port, got {text[:MAX_HOST_CHARACTERS]!r}")
-    if not 0 < int(port) <= MAX_PORT:
+    port = int(match[2])
+    if not 0 < port <= MAX_PORT:
         raise ValueError(f"port {port} is out of range")
-    return Endpoint(host, int(port))
+    return Endpoint(match[1], port)
--- a/pollencleat/store/objects.py
+++ b/pollencleat/store/objects.py
@@ -2,16 +2,31 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import pydantic
 
 from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.data import AuditEntry, Fleet, Inventory, VmList
-from pollencleat.core.errors import StoreError
+from pollencleat.core.data import (
+    AuditEntry,
+    Fleet,
+    Inventory,
+    VmList,
+    find_fleet_problem,
+)
+from pollencleat.core.errors import (
+    InventoryError,
+    StoreError,
+    StoreUnavailableError,
+)
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.inventory.parser import parse_inventory
 from pollencleat.store.client import StoreClient, StoredObject
 
+T = TypeVar("T", Inventory, VmList)
+
 FLEET_NAME = "fleet"
 INVENTORY_NAME = "inventory"
 HISTORY_PREFIX = "inventory-history/"
@@ -58,6 +73,9 @@
         fleet = _fleet_adapter.validate_json(stored.value)
     except pydantic.ValidationError as error:
         raise StoreError(f"malformed fleet state: {error}") from error
+    problem = find_fleet_problem(fleet)
+    if problem:
+        raise StoreError(f"malformed fleet state: {problem}")
     return dataclasses.replace(fleet, version=stored.version)
 
 
@@ -134,6 +152,7 @@
     def __init__(self, client: StoreClient) -> None:
         """Use a client."""
         self._client = client
+        self._refused = RefusedObjects()
 
     async def read_state(self, board: Blackboard) -> PlatformState:
         """Read fleet state, inventory and VM list.
@@ -146,14 +165,31 @@
 
         Raises:
             StoreUnavailableError: No answer.
+            StoreError: The fleet state is malformed; a malformed inventory or VM list
+                leaves the known one in force.
         """
         fleet, inventory, vms = await asyncio.gather(
             read_fleet(self._client, board.fleet),
-            read_inventory(self._client, board.declared_inventory),
-            read_vm_list(self._client, board.vms),
+            self._read_or_keep(read_inventory, board.declared_inventory),
+            self._read_or_keep(read_vm_list, board.vms),
         )
         return PlatformState(fleet, inventory, vms)
 
+    async def _read_or_keep(
+        self, read: Callable[[StoreClient, T], Awaitable[T]], known: T
+    ) -> T:
+        """Read an object; if it is malformed, log that once and keep the known one."""
+        kind = type(known).__name__
+        try:
+            newest = await read(self._client, known)
+        except StoreUnavailableError:
+            raise
+        except (StoreError, InventoryError) as error:
+            self._refused.refuse(kind, "", str(error))
+            return known
+        self._refused.accept(kind, "")
+        return newest
+
     async def update_fleet(self, expected_version: int, fleet: Fleet) -> int:
         """Replace the fleet state if its version is the expected one.
 
