Line server stand-in: no entries from a primary that is down or over a cut path

Callers saw nothing; the soak and the platform tests could not see a lost commit. Cause: catch_up sent a crashed primary's log to the replicas, and a promotion copied the new primary's log to replicas in unreachable_replica_ids. A replica that lacked commits thus had them before a wrong choice showed.

Evidence, before the change: standins/line_server_test.py:45: assert starved.log == [] Left contains one more item: LogEntry(term=3, number=1, ..., request_id='r1') standins/line_server_test.py:71: assert starved.log == [kept] Left contains one more item: LogEntry(term=3, number=3, ..., request_id='r3')

Now a primary that is down sends nothing, and at a promotion an unreachable replica loses the entries that the new primary does not have but receives none. The log reaches it as before once it is reachable (PROTOCOL: replicas ahead are rolled back).

--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -154,6 +154,16 @@
         self.born = next(self._incarnations)
         await self.start()
 
+    def roll_back_to(self, log: list[LogEntry]) -> None:
+        """Drop the entries that another server's log does not have.
+
+        Args:
+            log: The other server's log.
+        """
+        kept = set(log)
+        self.log = [entry for entry in self.log if entry in kept]
+        self.applied_count = min(self.applied_count, len(self.log))
+
     def make_store_entry(self) -> dict | None:
         """Return the server's object store entry, or None while it is down."""
         if not self.is_running:
@@ -444,8 +454,10 @@
         """Send the primary's log to all reachable replicas that are not paused.
 
         Args:
-            primary: The server whose log is sent.
+            primary: The server whose log is sent; one that is down sends nothing.
         """
+        if not primary.is_running:
+            return
         for server in self.servers:
             is_unreachable = (
                 server.server_id in self.unreachable_replica_ids
@@ -505,6 +517,9 @@
             if other is server or other.is_primary or not other.is_running:
                 continue
             other.paused_for_term = 0
+            if other.server_id in self.unreachable_replica_ids:
+                other.roll_back_to(server.log)
+                continue
             other.log = list(server.log)
             other.applied_count = len(other.log)
             other.term = server.term
--- a/standins/line_server_test.py
+++ b/standins/line_server_test.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from standins.line_server import LogEntry, ServerGroup
 
 
@@ -27,3 +29,46 @@
     """A session outside a transaction."""
 
     in_transaction = False
+
+
+async def test_a_primary_that_is_down_sends_its_log_to_nobody():
+    """Guards against a lost commit that the stand-in hides."""
+    group = ServerGroup("books", ("a", "b", "c"))
+    primary, starved, _ = group.servers
+    await group.start()
+    try:
+        group.unreachable_replica_ids.add(starved.server_id)
+        primary.log = [LogEntry(primary.term, 1, "k", "v", "r1")]
+        await primary.stop()
+        group.unreachable_replica_ids.clear()
+        group.catch_up(starved)
+        assert starved.log == []
+        await primary.restart()
+        group.catch_up(starved)
+        assert starved.log == primary.log
+    finally:
+        await group.stop()
+
+
+async def test_an_unreachable_replica_gets_no_entries_from_a_promoted_one():
+    """Guards against a lost commit that the stand-in hides."""
+    group = ServerGroup("books", ("a", "b", "c"), promotion_delay_s=0.0)
+    former, chosen, starved = group.servers
+    await group.start()
+    try:
+        group.unreachable_replica_ids.add(starved.server_id)
+        kept, dropped, missed = (
+            LogEntry(former.term, number, "k", "v", f"r{number}")
+            for number in (1, 2, 3)
+        )
+        starved.log = [kept, dropped]
+        chosen.log = [kept, missed]
+        former.is_primary = False
+        assert group.begin_promotion(chosen.server_id)
+        while not chosen.is_primary:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.001)
+        assert starved.log == [kept]
+        assert former.log == [kept, missed]
+    finally:
+        await group.stop()
