Line server stand-in: a stop also ends connections that are being accepted

One that was being accepted was served by the crashed server from then on.

Evidence, before the change: standins/line_server_test.py, a connection 0 to 5 iterations old at the stop: assert server.log == []: Left contains 2 more items, first extra item: LogEntry(term=3, number=1, key='k', value='v', request_id='r').

Now a handler that starts at a stopped server aborts its connection.

--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -199,6 +199,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self.is_running:
+            # The connection was accepted just before the server stopped.
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         self.connections += 1
         session = _Session()
--- a/standins/line_server_test.py
+++ b/standins/line_server_test.py
@@ -1,4 +1,6 @@
 import asyncio
+import contextlib
+import socket
 
 from standins.line_server import LogEntry, ServerGroup
 
@@ -25,6 +27,25 @@
         await group.stop()
 
 
+async def test_a_connection_that_a_stop_overtakes_is_not_served():
+    """Guards against a server that goes on after its crash (known red 13)."""
+    group = ServerGroup("books", ("a",), sync_replica_count=0)
+    (server,) = group.servers
+    await group.start()
+    for iterations in range(6):
+        # The handler of an accepted connection starts some iterations later.
+        with socket.create_connection(("127.0.0.1", server.port)) as client:
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            await server.stop()
+            with contextlib.suppress(ConnectionError):
+                client.sendall(b"STARTUP books x\r\nQUERY r WRITE k v\r\n")
+            await asyncio.sleep(0.02)
+        await server.restart()
+    await group.stop()
+    assert server.log == []
+
+
 class IdleSession:
     """A session outside a transaction."""
 
