--- a/bench/mixed.py
+++ b/bench/mixed.py
@@ -22,7 +22,7 @@
 
 from bench.platform_cluster import LineClient
 from bench.processes import Process
-from bench.soak import CALLER_LIMIT_S, MAX_AGE_S_BY_DATABASE, EntryVm, Soak
+from bench.soak import CALLER_LIMIT_S, MAX_AGE_S_BY_DATABASE, EntryVm, Options, Soak
 from bench.soak_checks import Attempt
 from pollencleat.reports.losses import parse_log_line
 
@@ -58,7 +58,7 @@
 
     def __init__(self, seed: int, folder: Path, other: Path, first_half: int) -> None:
         """Prepare a run; `first_half` (0 or 1) selects the half upgraded first."""
-        super().__init__(seed, 0.0, folder, NODES, CONNECTIONS)
+        super().__init__(seed, 0.0, folder, Options(NODES, CONNECTIONS))
         self.findings: list[str] = []
         self.hops: Counter[tuple[str, str, str]] = Counter()
         self.promotions: Counter[str] = Counter()
@@ -98,7 +98,7 @@
                 },
             )
             vm.is_claimed = False
-            self._record_event(f"vm-{vm.number} runs this build")
+            self.record_event(f"vm-{vm.number} runs this build")
         await self._wait_for_writes("after the upgrade")
 
     async def _stop_gracefully(self, vm: EntryVm) -> bool:
@@ -135,7 +135,7 @@
     async def _check_promotions(self) -> None:
         """Crash primaries, and count the promotions by each build."""
         for _ in range(PROMOTIONS):
-            primary = self._find_primary()
+            primary = self.find_primary()
             await primary.stop()
             await self._wait_for_writes(f"after the crash of {primary.server_id}")
             await primary.restart()
@@ -145,7 +145,7 @@
                 continue
             if event.get("order") == "PromoteServer":
                 self.promotions[build] += 1
-                self._record_event(f"{name} ({build} build) promoted a replica")
+                self.record_event(f"{name} ({build} build) promoted a replica")
 
     def _read_logs(self) -> list[tuple[str, str, dict]]:
         """Return node, build and fields of what each node's current build logged."""
@@ -185,7 +185,7 @@
         commit = await client.send(commit_id, "COMMIT")
         for answer in (read, begin, commit):
             if answer.error:
-                self._record_event(f"probe: {answer.error} {answer.detail}")
+                self.record_event(f"probe: {answer.error} {answer.detail}")
 
     def _collect_hops(self) -> None:
         build_by_vm = {
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,7 +4,9 @@
 stand-ins in this process.  Each server and each entry VM's connection to the store has
 a link that can fail.  Faults are drawn from a seed and overlap, while callers keep
 using their connections.  After the last fault, bench/soak_checks.py compares the
-histories of callers and servers.
+histories of callers and servers.  The faults are in bench/soak_faults.py.  With
+departures, servers also leave for good and replicas receive nothing for a while.  A
+planned run has only planned work: no request may then end without an answer.
 
 The daemon keeps no files and makes no decision by the time of day, so there are no
 disk or clock faults.  A stopped process simulates a suspended machine.  The links
@@ -17,19 +19,35 @@
 import json
 import os
 import random
-import signal
 import socket
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 import click
 
 from bench.platform_cluster import ZONES, LineAnswer, LineClient, put_configuration
 from bench.processes import Process
-from bench.soak_checks import Attempt, find_broken_promises
-from standins.faulty_link import FaultyLink, LinkFault
+from bench.soak_checks import (
+    Attempt,
+    Unanswered,
+    find_broken_promises,
+    find_unanswered_requests,
+)
+from bench.soak_faults import (
+    DEPARTURE_FAULTS,
+    DEPARTURE_INTERVAL_S,
+    FAULT_DURATION_S,
+    FAULT_INTERVAL_S,
+    FAULTS,
+    PLANNED_FAULTS,
+    RESTART_DELAY_S,
+    SERVER_FAULT_PAUSE_S,
+    Fault,
+)
+from standins.faulty_link import FaultyLink
 from standins.line_server import LineServer, ServerGroup
 from standins.object_store import ObjectStoreStandIn
 
@@ -50,12 +68,6 @@
 MAX_AGE_S_BY_DATABASE = {"main-db": 0.0, "old-db": 1.5, "own-db": 2.5}
 """Maximum staleness in seconds of the routes in bench/platform_cluster.py."""
 
-FAULT_INTERVAL_S = (0.1, 1.2)
-"""Range of the seconds between the starts of two faults."""
-
-RESTART_DELAY_S = 0.2
-"""Delay before a process that ended is restarted."""
-
 COPY_INTERVAL_S = 0.25
 """Seconds between two copies of the store."""
 
@@ -65,25 +77,51 @@
 RESTORE_INTERVAL_S = (0.5, 5.0)
 """Range of the seconds between two restores."""
 
-FAULT_DURATION_S = (0.2, 4.0)
-SERVER_FAULT_PAUSE_S = 1.0
-"""Pause between two server faults; only one server may be lost at a time."""
+ADDRESS_FREE_AFTER_S = 2.0
+"""Seconds after which the address of a server that has left may be used again."""
 
-Fault = Callable[["Soak"], Awaitable[None]]
-_faults: dict[str, Fault] = {}
+ADDRESS_REUSE_PROBABILITY = 0.5
 
+CALLER_PAUSE_S = 0.1
+"""Longest pause in seconds of a session between two operations."""
 
-def fault(function: Fault) -> Fault:
-    """Register a fault under the name of its function.
+STATEMENT_PAUSE_S = 0.05
+"""Longest pause in seconds between two statements of a transaction."""
 
-    Args:
-        function: Injects the fault and returns when the fault is over.
+PLANNED_CALLER_PAUSES_S = (0.02, 0.1, 0.6)
+PLANNED_STATEMENT_PAUSES_S = (0.02, 0.4)
+PLANNED_STATEMENT_DURATIONS_S = (0.001, 0.02, 0.15)
+"""Values in seconds that a session or the group of a planned run draws from."""
 
-    Returns:
-        The function.
+SETTLE_LIMIT_S = 12.0
+"""Seconds that a restarted process has until it accepts writes in a planned run."""
+
+GRACE_S = 6
+"""Grace period in seconds of a process that is stopped."""
+
+
+@dataclass(frozen=True)
+class Options:
+    """What a run is made of.
+
+    Attributes:
+        nodes: Number of entry VMs.
+        connections: Connection limit of each server.
+        restores: Whether the store comes back from older copies meanwhile.
+        departures: Whether servers leave and replicas receive nothing meanwhile.
+        planned: Whether there is only planned work in place of the faults.
+        calm: Whether there are no other faults beside restores and departures.
     """
-    _faults[function.__name__] = function
-    return function
+
+    nodes: int = NODES
+    connections: int = CONNECTIONS
+    restores: bool = False
+    departures: bool = False
+    planned: bool = False
+    calm: bool = False
+
+
+DEFAULT_OPTIONS = Options()
 
 
 class EntryVm:
@@ -96,6 +134,7 @@
         self.number = number
         self.callers_port = 0
         self._folder = folder
+        self._settings_path = folder / f"vm-{number}.json"
         self.process: Process | None = None
         self.is_claimed = False
 
@@ -106,7 +145,7 @@
         ports = [_find_free_port(ip) for _ in range(4)]
         self.host, self.callers_port = ip, ports[0]
         first_internal_port = ports[2]
-        settings = {
+        self._settings = {
             "node_name": f"vm-{self.number}",
             "ip": ip,
             "zone": ZONES[self.number % len(ZONES)],
@@ -115,19 +154,23 @@
                 "ready": f"{ip}:{ports[1]}",
             },
             "internal_port_range": [first_internal_port, first_internal_port + 15],
-            "bounds": {"grace_period_s": 6},
+            "bounds": {"grace_period_s": GRACE_S},
             "platform": {"address": self.link.address},
             "cloud_api": {"address": self.link.address},
         }
-        path = self._folder / f"vm-{self.number}.json"
-        path.write_text(json.dumps(settings))
+        self.write_settings()
         self.process = Process(
             f"vm-{self.number}",
             ["pollencleat.daemon.main", "--on-platform"],
             self._folder,
-            {"POLLENCLEAT_BOOT": str(path)},
+            {"POLLENCLEAT_BOOT": str(self._settings_path)},
         )
 
+    def write_settings(self, grace_s: int = GRACE_S) -> None:
+        """Write the settings file, with a grace period in seconds."""
+        self._settings["bounds"]["grace_period_s"] = grace_s
+        self._settings_path.write_text(json.dumps(self._settings))
+
     async def restart_after(self, delay_s: float) -> None:
         """Restart the process after a delay in seconds, and release its claim."""
         await asyncio.sleep(delay_s)
@@ -162,25 +205,30 @@
         seed: int,
         fault_s: float,
         folder: Path,
-        nodes: int = NODES,
-        connections: int = CONNECTIONS,
-        restores: bool = False,
+        options: Options = DEFAULT_OPTIONS,
     ) -> None:
         """Prepare a run; the seed determines all random choices."""
-        self.nodes = nodes
-        self.restores = restores
+        self.options = options
         self.seed = seed
         self.random = random.Random(seed)
+        self.departures_random = random.Random(seed + 2)
         self.fault_s = fault_s
         self.folder = folder
         self.store = ObjectStoreStandIn(seed)
-        self.group = ServerGroup("books", ZONES, connection_limit=connections)
+        self.group = ServerGroup("books", ZONES, connection_limit=options.connections)
+        self.group.record_event = self.record_event
         self.vms: list[EntryVm] = []
         self.server_links: dict[str, FaultyLink] = {}
         self.attempts: list[Attempt] = []
+        self.unanswered: list[Unanswered] = []
+        self.unclean_stops: list[str] = []
         self.history: list[str] = []
         self.version = 7
-        self._server_lock = asyncio.Lock()
+        self.server_lock = asyncio.Lock()
+        self.release_lock = asyncio.Lock()
+        self.starve_lock = asyncio.Lock()
+        self._free_addresses: list[tuple[float, LineServer]] = []
+        self._added_servers = 0
         self._started_s = time.monotonic()
         self._is_over = False
 
@@ -205,10 +253,15 @@
             self._is_over = True
             await asyncio.gather(*callers)
             await asyncio.sleep(0.1)
-            primary = self._find_primary()
-            return broken + find_broken_promises(
-                self.attempts, self.group.executed_statements, primary.log
+            broken += find_broken_promises(
+                self.attempts, self.group.executed_statements, self.find_primary().log
             )
+            if self.options.planned:
+                broken += self.unclean_stops
+                broken += find_unanswered_requests(
+                    self.unanswered, self.group.received_request_ids
+                )
+            return broken
         finally:
             await self._stop()
 
@@ -216,18 +269,49 @@
         await self.store.start()
         await self.group.start()
         for server in self.group.servers:
-            link = FaultyLink("127.0.0.1", server.port)
-            await link.start()
-            self.server_links[server.server_id] = link
-            server.public_port = link.port
+            await self._start_server_link(server)
+        if self.options.planned:
+            self.group.statement_duration_s = self.random.choice(
+                PLANNED_STATEMENT_DURATIONS_S
+            )
         self.store.register_group(self.group)
         await self.put_configuration()
-        for number in range(self.nodes):
+        for number in range(self.options.nodes):
             vm = EntryVm(number, self.store, self.folder)
             self.vms.append(vm)
             await vm.start()
         await self._wait_until_all_writable(START_LIMIT_S)
 
+    async def _start_server_link(self, server: LineServer) -> None:
+        link = FaultyLink("127.0.0.1", server.port)
+        await link.start()
+        self.server_links[server.server_id] = link
+        server.public_port = link.port
+
+    async def add_server(self, zone: str) -> LineServer:
+        """Start a further server, at times at the address of one that has left."""
+        self._added_servers += 1
+        server_id = f"{self.group.name}-new-{self._added_servers}"
+        reuse = self.departures_random.random() < ADDRESS_REUSE_PROBABILITY
+        now_s = time.monotonic()
+        if reuse and self._free_addresses and self._free_addresses[0][0] < now_s:
+            _, former = self._free_addresses.pop(0)
+            self.server_links[server_id] = self.server_links[former.server_id]
+            server = await self.group.add_server(
+                server_id, zone, former.port, former.public_port
+            )
+        else:
+            server = await self.group.add_server(server_id, zone)
+            await self._start_server_link(server)
+        self.record_event(f"{server_id} has started at port {server.public_port}")
+        return server
+
+    async def remove_server(self, server: LineServer) -> None:
+        """End a server for good; its address is free a while later."""
+        self.record_event(f"{server.server_id} ends, log at {server.received()}")
+        await self.group.remove_server(server)
+        self._free_addresses.append((time.monotonic() + ADDRESS_FREE_AFTER_S, server))
+
     async def put_configuration(self) -> None:
         """Write the next version of the configuration."""
         self.version += self.random.randint(1, 4)
@@ -243,7 +327,7 @@
         await self.group.stop()
         await self.store.stop()
 
-    def _find_primary(self) -> LineServer:
+    def find_primary(self) -> LineServer:
         """Return the primary of the highest term."""
         leading = [server for server in self.group.servers if server.is_primary]
         return max(leading or self.group.servers, key=lambda server: server.term)
@@ -261,7 +345,7 @@
             if time.monotonic() > ends_s:
                 return
             age_s = generator.uniform(*COPY_AGE_S)
-            self._record_event(f"the store goes back {age_s:.1f} s")
+            self.record_event(f"the store goes back {age_s:.1f} s")
             self.store.faults.down = True
             await asyncio.sleep(generator.uniform(0.0, 1.5))
             await self.store.restore(age_s)
@@ -270,14 +354,39 @@
             await put_configuration(self.store, self.group, self.version)
 
     async def _run_scenario(self) -> None:
-        running = []
         ends_s = time.monotonic() + self.fault_s
-        if self.restores:
-            running.append(asyncio.create_task(self._restore_store(ends_s)))
+        series = []
+        if self.options.restores:
+            series.append(self._restore_store(ends_s))
+        if self.options.departures:
+            series.append(
+                self._run_faults(
+                    DEPARTURE_FAULTS,
+                    self.departures_random,
+                    DEPARTURE_INTERVAL_S,
+                    ends_s,
+                )
+            )
+        if not self.options.calm:
+            faults = PLANNED_FAULTS if self.options.planned else FAULTS
+            series.append(
+                self._run_faults(faults, self.random, FAULT_INTERVAL_S, ends_s)
+            )
+        await asyncio.gather(*series)
+
+    async def _run_faults(
+        self,
+        faults: dict[str, Fault],
+        generator: random.Random,
+        interval_s: tuple[float, float],
+        ends_s: float,
+    ) -> None:
+        """Start faults until a time, and wait until all are over."""
+        running = []
         while time.monotonic() < ends_s:
-            name = self.random.choice(sorted(_faults))
-            running.append(asyncio.create_task(self._run_fault(name)))
-            await asyncio.sleep(self.random.uniform(*FAULT_INTERVAL_S))
+            name = generator.choice(sorted(faults))
+            running.append(asyncio.create_task(self._run_fault(name, faults[name])))
+            await asyncio.sleep(generator.uniform(*interval_s))
         await asyncio.gather(*running)
 
     async def _supervise(self) -> None:
@@ -289,16 +398,17 @@
             for vm in self.vms:
                 if vm.process.is_running or not vm.claim():
                     continue
-                self._record_event(f"vm-{vm.number} ended by itself and is restarted")
+                self.record_event(f"vm-{vm.number} ended by itself and is restarted")
                 await vm.restart_after(RESTART_DELAY_S)
             await asyncio.sleep(RESTART_DELAY_S)
 
-    async def _run_fault(self, name: str) -> None:
-        self._record_event(f"{name} begins")
-        await _faults[name](self)
-        self._record_event(f"{name} is over")
+    async def _run_fault(self, name: str, fault: Fault) -> None:
+        self.record_event(f"{name} begins")
+        await fault(self)
+        self.record_event(f"{name} is over")
 
-    def _record_event(self, text: str) -> None:
+    def record_event(self, text: str) -> None:
+        """Add a line to the history, which is kept with the logs of a failed run."""
         self.history.append(f"{time.monotonic() - self._started_s:8.3f} {text}")
 
     def draw_duration_s(self) -> float:
@@ -317,21 +427,21 @@
         Args:
             apply_fault: Injects the fault and returns when the fault is over.
         """
-        async with self._server_lock:
+        async with self.server_lock:
             server = self.random.choice(self.group.servers)
-            self._record_event(
+            self.record_event(
                 f"server fault at {server.server_id}, primary: {server.is_primary}"
             )
             await apply_fault(server)
             await asyncio.sleep(SERVER_FAULT_PAUSE_S)
 
     async def _check_recovery(self) -> list[str]:
-        self._record_event("healed")
+        self.record_event("healed")
         try:
             await self._wait_until_all_writable(RECOVERY_LIMIT_S)
         except TimeoutError as error:
             return [f"RECOVER: {error}"]
-        self._record_event("recovered")
+        self.record_event("recovered")
         return []
 
     async def _wait_until_all_writable(self, limit_s: float) -> None:
@@ -342,6 +452,12 @@
                     raise TimeoutError(f"vm-{vm.number} does not accept writes")
                 await asyncio.sleep(0.1)
 
+    async def wait_until_settled(self, vm: EntryVm) -> None:
+        """Wait until a process that was restarted accepts writes, or for a while."""
+        deadline_s = time.monotonic() + SETTLE_LIMIT_S
+        while time.monotonic() < deadline_s and not await self._can_write(vm):
+            await asyncio.sleep(RESTART_DELAY_S)
+
     async def _can_write(self, vm: EntryVm) -> bool:
         generator = random.Random(self.random.random())
         attempt = Attempt("main-db", 0.0, time.monotonic())
@@ -378,6 +494,9 @@
         """Send requests until the session ends or its state becomes unknown."""
         own_writes: tuple[str, ...] = ()
         values: dict[str, str] = {}
+        pause_s = CALLER_PAUSE_S
+        if self.options.planned:
+            pause_s = generator.choice(PLANNED_CALLER_PAUSES_S)
         for _ in range(generator.randint(1, 60)):
             if self._is_over:
                 return
@@ -391,9 +510,7 @@
                 if generator.random() < 0.2:
                     name = generator.choice(("tz", "lang"))
                     value = f"v{generator.randint(0, 9)}"
-                    answer = await self._await_answer(
-                        client.query(f"SET {name} {value}")
-                    )
+                    answer = await self._ask(client, f"SET {name} {value}")
                     if answer.error:
                         return
                     values[name] = value
@@ -408,7 +525,7 @@
                 return
             if attempt.is_acknowledged:
                 own_writes = (*own_writes, *attempt.writes)
-            await asyncio.sleep(generator.uniform(0.0, 0.1))
+            await asyncio.sleep(generator.uniform(0.0, pause_s))
 
     async def _run_operation(
         self, generator: random.Random, client: LineClient, attempt: Attempt
@@ -417,26 +534,27 @@
             statement = _write if generator.random() < 0.3 else _read
             return await self._send(client, attempt, statement(generator))
         is_read_only = generator.random() < 0.3
-        answer = await self._await_answer(
-            client.query("BEGIN READ" if is_read_only else "BEGIN")
-        )
+        pause_s = STATEMENT_PAUSE_S
+        if self.options.planned:
+            pause_s = generator.choice(PLANNED_STATEMENT_PAUSES_S)
+        answer = await self._ask(client, "BEGIN READ" if is_read_only else "BEGIN")
         for _ in range(generator.randint(1, 4)):
             if answer.error:
                 break
             is_write = not is_read_only and generator.random() < 0.5
             statement = _write if is_write else _read
             answer = await self._send(client, attempt, statement(generator))
-            await asyncio.sleep(generator.uniform(0.0, 0.05))
+            await asyncio.sleep(generator.uniform(0.0, pause_s))
         if answer.error:
             if answer.state == "E":
-                ending = await self._await_answer(client.query("ROLLBACK"))
+                ending = await self._ask(client, "ROLLBACK")
                 return LineAnswer((), "", answer.error, "", ending.state)
             return answer
         if generator.random() < 0.2:
-            answer = await self._await_answer(client.query("ROLLBACK"))
+            answer = await self._ask(client, "ROLLBACK")
             attempt.writes.clear()
             return answer
-        return await self._await_answer(client.query("COMMIT"))
+        return await self._ask(client, "COMMIT")
 
     async def _send(
         self, client: LineClient, attempt: Attempt, text: str
@@ -446,7 +564,7 @@
         if text.startswith("WRITE"):
             attempt.writes.append(request_id)
         self._record_attempt(attempt)
-        answer = await self._await_answer(client.send(request_id, text))
+        answer = await self._ask(client, text, request_id)
         if text.startswith("READ") and not answer.error:
             attempt.answers[request_id] = (answer.receipt, answer.rows)
         return answer
@@ -455,9 +573,25 @@
         if not self.attempts or self.attempts[-1] is not attempt:
             self.attempts.append(attempt)
 
-    async def _await_answer(self, answer: Awaitable[LineAnswer]) -> LineAnswer:
-        async with asyncio.timeout(CALLER_LIMIT_S):
-            return await answer
+    async def _ask(
+        self, client: LineClient, text: str, request_id: str = ""
+    ) -> LineAnswer:
+        """Send a statement, and record it if no complete answer comes."""
+        request_id = request_id or client.next_id()
+        sent_s = time.monotonic()
+        answer = None
+        try:
+            async with asyncio.timeout(CALLER_LIMIT_S):
+                answer = await client.send(request_id, text)
+            return answer
+        finally:
+            # An answer without its last line has no state.
+            if answer is None or not answer.state:
+                waited_s = time.monotonic() - sent_s
+                self.unanswered.append(Unanswered(request_id, text, waited_s))
+                self.record_event(
+                    f"no answer to {request_id} {text!r} after {waited_s:.3f} s"
+                )
 
     def _finish_attempt(self, attempt: Attempt, answer: LineAnswer | None) -> None:
         if answer is None:
@@ -475,179 +609,11 @@
     return f"WRITE k{generator.randint(0, 5)} {generator.getrandbits(40):x}"
 
 
-@fault
-async def kill_vm(soak: Soak) -> None:
-    """Kill a process and restart it after a delay."""
-    vm = soak.draw_vm()
-    delay_s = soak.random.uniform(0.2, 1.5)
-    if vm.claim():
-        vm.process.kill()
-        await vm.restart_after(delay_s)
-
-
-@fault
-async def kill_all_vms(soak: Soak) -> None:
-    """Kill all processes at once and restart each after a delay."""
-    claimed_vms = [vm for vm in soak.vms if vm.claim()]
-    for vm in claimed_vms:
-        vm.process.kill()
-    await asyncio.gather(
-        *(vm.restart_after(soak.random.uniform(0.2, 1.0)) for vm in claimed_vms)
-    )
-
-
-@fault
-async def stop_vm(soak: Soak) -> None:
-    """Stop a process gracefully and restart it."""
-    vm = soak.draw_vm()
-    if vm.claim():
-        await asyncio.to_thread(vm.process.terminate, 8.0)
-        await vm.restart_after(RESTART_DELAY_S)
-
-
-@fault
-async def suspend_vm(soak: Soak) -> None:
-    """Suspend a process with SIGSTOP for the duration of the fault."""
-    vm = soak.draw_vm()
-    vm.process.send_signal(signal.SIGSTOP)
-    await asyncio.sleep(soak.draw_duration_s())
-    vm.process.send_signal(signal.SIGCONT)
-
-
-@fault
-async def reload_vm(soak: Soak) -> None:
-    """Make a process reload its settings file."""
-    soak.draw_vm().process.send_signal(signal.SIGHUP)
-
-
-@fault
-async def harm_store_link(soak: Soak) -> None:
-    """Inject a fault into one entry VM's link to the platform."""
-    await inject_link_fault(soak, soak.draw_vm().link)
-
-
-async def inject_link_fault(soak: Soak, link: FaultyLink) -> None:
-    """Inject a random fault into a link for a random duration."""
-    link.set_fault(soak.random.choice([kind for kind in LinkFault if kind != "none"]))
-    await asyncio.sleep(soak.draw_duration_s())
-    link.set_fault(LinkFault.NONE)
-
-
-@fault
-async def store_down(soak: Soak) -> None:
-    """Make the store refuse all calls."""
-    soak.store.faults.down = True
-    await asyncio.sleep(soak.draw_duration_s())
-    soak.store.faults.down = False
-
-
-@fault
-async def store_loses_answers(soak: Soak) -> None:
-    """Make the store lose the responses of some changes that it has applied."""
-    soak.store.faults.lose_response_probability = 0.4
-    await asyncio.sleep(soak.draw_duration_s())
-    soak.store.faults.lose_response_probability = 0.0
-
-
-@fault
-async def store_is_slow(soak: Soak) -> None:
-    """Delay all responses of the store."""
-    soak.store.faults.delay_s = 0.2
-    await asyncio.sleep(soak.draw_duration_s())
-    soak.store.faults.delay_s = 0.0
-
-
-@fault
-async def store_forgets(soak: Soak) -> None:
-    """Discard the change history of the store."""
-    await soak.store.compact_history()
-
-
-@fault
-async def change_configuration(soak: Soak) -> None:
-    """Write new versions of the configuration in quick succession."""
-    for _ in range(soak.random.randint(1, 4)):
-        await soak.put_configuration()
-        await asyncio.sleep(0.05)
-
-
-@fault
-async def harm_server_link(soak: Soak) -> None:
-    """Inject a fault into the link to one server."""
-    await soak.inject_server_fault(
-        lambda server: inject_link_fault(soak, soak.server_links[server.server_id])
-    )
-
-
-@fault
-async def crash_server(soak: Soak) -> None:
-    """Crash a server and restart it with its log."""
-
-    async def apply_fault(server: LineServer) -> None:
-        await server.stop()
-        await asyncio.sleep(soak.draw_duration_s())
-        await server.restart()
-
-    await soak.inject_server_fault(apply_fault)
-
-
-@fault
-async def empty_server(soak: Soak) -> None:
-    """Crash a server and restart it without data under the same id."""
-
-    async def apply_fault(server: LineServer) -> None:
-        await server.stop()
-        await asyncio.sleep(soak.draw_duration_s())
-        await server.restart_empty()
-        soak.group.catch_up(server)
-
-    await soak.inject_server_fault(apply_fault)
-
-
-@fault
-async def silence_server(soak: Soak) -> None:
-    """Make a server stop responding for the duration of the fault."""
-
-    async def apply_fault(server: LineServer) -> None:
-        server.faults.silent = True
-        await asyncio.sleep(soak.draw_duration_s())
-        server.faults.silent = False
-
-    await soak.inject_server_fault(apply_fault)
-
-
-@fault
-async def lose_server_answers(soak: Soak) -> None:
-    """Make a server execute a few statements without sending the response."""
-    soak.random.choice(soak.group.servers).faults.lose_responses += 3
-
-
-@fault
-async def refuse_own_statements(soak: Soak) -> None:
-    """Make a server reject some of the proxy's own statements."""
-    soak.random.choice(soak.group.servers).faults.reject_proxy_statements += 2
-
-
-@fault
-async def starve_replica(soak: Soak) -> None:
-    """Interrupt replication to a server for the duration of the fault."""
-
-    async def apply_fault(server: LineServer) -> None:
-        soak.group.unreachable_replica_ids.add(server.server_id)
-        await asyncio.sleep(soak.draw_duration_s())
-        soak.group.unreachable_replica_ids.discard(server.server_id)
-        soak.group.catch_up(server)
-
-    await soak.inject_server_fault(apply_fault)
-
-
 async def run_seed(
     seed: int,
     fault_s: float,
     keep: Path | None = None,
-    nodes: int = NODES,
-    connections: int = CONNECTIONS,
-    restores: bool = False,
+    options: Options = DEFAULT_OPTIONS,
 ) -> list[str]:
     """Run one seed, and keep the logs if a guarantee was violated.
 
@@ -655,15 +621,13 @@
         seed: Determines all random choices; timing still differs between runs.
         fault_s: Duration of the fault injection in seconds.
         keep: Folder for the logs of failed runs, or None.
-        nodes: Number of entry VMs.
-        connections: Connection limit of each server.
-        restores: Whether the store comes back from older copies meanwhile.
+        options: What the run is made of.
 
     Returns:
         A line for every violation of a guarantee.
     """
     with tempfile.TemporaryDirectory(prefix="pollencleat-soak-") as folder:
-        soak = Soak(seed, fault_s, Path(folder), nodes, connections, restores)
+        soak = Soak(seed, fault_s, Path(folder), options)
         broken = await soak.run()
         if broken and keep is not None:
             target = keep / f"seed-{seed}"
@@ -683,21 +647,22 @@
 @click.option("--nodes", default=NODES, help="Entry VMs.")
 @click.option("--connections", default=CONNECTIONS, help="Connections of a server.")
 @click.option("--restores", is_flag=True, help="The store goes back to older copies.")
+@click.option("--departures", is_flag=True, help="Servers leave, replicas starve.")
+@click.option("--planned", is_flag=True, help="Planned work only, all answered.")
+@click.option("--calm", is_flag=True, help="No faults but restores and departures.")
 def main(
     seed: int | None,
     seeds: int,
     seconds: float,
     jobs: int,
     keep: Path | None,
-    nodes: int,
-    connections: int,
-    restores: bool,
+    **options: int | bool,
 ) -> None:
     """Run the soak; exits with 1 if a guarantee was violated."""
     first_seed = seed if seed is not None else random.SystemRandom().randrange(1 << 30)
 
     async def run_one(number: int) -> list[str]:
-        return await run_seed(number, seconds, keep, nodes, connections, restores)
+        return await run_seed(number, seconds, keep, Options(**options))
 
     asyncio.run(_run_seeds(range(first_seed, first_seed + seeds), jobs, run_one))
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -22,6 +22,25 @@
 """Error codes that guarantee that no write of the attempt was committed."""
 
 
+LOSS_SLACK_S = 0.2
+"""Seconds within which a request may have crossed with the end of its connection; the
+users' platform grants the same."""
+
+
+@dataclass(frozen=True)
+class Unanswered:
+    """A request that ended without a complete answer.
+
+    Attributes:
+        waited_s: Seconds from its sending to the end of the connection, or to the
+            caller's time limit.
+    """
+
+    request_id: str
+    text: str
+    waited_s: float
+
+
 @dataclass
 class Attempt:
     """A statement or transaction of a caller, and its result.
@@ -175,3 +194,27 @@
                     f"lacks {write_id}"
                 )
                 break
+
+
+def find_unanswered_requests(
+    unanswered: Iterable[Unanswered], received_request_ids: set[str]
+) -> Iterator[str]:
+    """Yield requests that a process has read and that ended without an answer.
+
+    Not for runs with faults, which excuse a missing answer.
+
+    Args:
+        unanswered: Requests without a complete answer.
+        received_request_ids: Ids of the requests that reached a server.
+
+    Yields:
+        A line for each that had reached a server, or that cannot merely have crossed
+        with the end of its connection.
+    """
+    for request in unanswered:
+        was_passed_on = request.request_id in received_request_ids
+        if was_passed_on or request.waited_s > LOSS_SLACK_S:
+            yield (
+                f"UNANSWERED: {request.request_id} {request.text!r} after "
+                f"{request.waited_s:.3f} s, at a server: {was_passed_on}"
+            )
--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from bench.soak_checks import Attempt, find_broken_promises
+from bench.soak_checks import (
+    LOSS_SLACK_S,
+    Attempt,
+    Unanswered,
+    find_broken_promises,
+    find_unanswered_requests,
+)
 from standins.line_server import ExecutedStatement, LogEntry
 
 WRITE = "w1"
@@ -111,3 +117,18 @@
     assert find_violations([make_write(), make_read(max_age_s=1.5)], statements) == []
     own = make_read(max_age_s=1.5, own_writes=(WRITE,))
     assert find_violations([make_write(), own], statements) == ["STALE"]
+
+
+@pytest.mark.parametrize(
+    ("waited_s", "received_ids", "is_found"),
+    [
+        (0.0, set(), False),
+        (0.0, {READ}, True),
+        (LOSS_SLACK_S + 0.01, set(), True),
+        (3.0, {READ}, True),
+    ],
+)
+def test_request_without_an_answer_is_found(waited_s, received_ids, is_found):
+    unanswered = [Unanswered(READ, "READ k", waited_s)]
+    found = list(find_unanswered_requests(unanswered, received_ids))
+    assert [line.split(":")[0] for line in found] == ["UNANSWERED"] * is_found
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.soak import run_seed
+from bench.soak import Options, run_seed
 
 FAULT_S = 5.0
 REGRESSION_FAULT_S = 12.0
@@ -41,11 +41,53 @@
     ],
 )
 async def test_promises_hold_while_the_store_goes_back(seed, fault_s, tmp_path):
-    broken = await run_seed(seed, fault_s, tmp_path, restores=True)
+    broken = await run_seed(seed, fault_s, tmp_path, Options(restores=True))
     assert broken == [], f"logs in {tmp_path}"
 
 
 async def test_promises_hold_with_gateways(tmp_path):
     """Nine entry VMs share 12 connections; gateways are killed, paused and cut off."""
-    broken = await run_seed(7, FAULT_S, tmp_path, nodes=9, connections=12)
+    broken = await run_seed(7, FAULT_S, tmp_path, Options(9, 12))
+    assert broken == [], f"logs in {tmp_path}"
+
+
+DEPARTURES_S = 8.0
+DEPARTURE_REGRESSION_SEEDS = {
+    201: "a leaving replica alone had acknowledged commits, another was promoted",
+    204: "a replica that had left alone had acknowledged commits, another was promoted",
+}
+"""Seeds that failed with departures and no other faults, with the cause."""
+
+
+async def test_promises_hold_while_servers_leave_and_replicas_starve(tmp_path):
+    broken = await run_seed(13, FAULT_S, tmp_path, Options(departures=True))
+    assert broken == [], f"logs in {tmp_path}"
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        pytest.param(
+            201,
+            marks=pytest.mark.xfail(
+                strict=True, raises=AssertionError, reason="KNOWN-RED 14"
+            ),
+        ),
+        pytest.param(
+            204,
+            marks=pytest.mark.xfail(
+                strict=True, raises=AssertionError, reason="KNOWN-RED 15"
+            ),
+        ),
+    ],
+)
+async def test_no_commit_is_lost_with_a_server_that_leaves(seed, tmp_path):
+    options = Options(departures=True, calm=True)
+    broken = await run_seed(seed, DEPARTURES_S, tmp_path, options)
+    assert broken == [], f"logs in {tmp_path}"
+
+
+async def test_planned_work_leaves_no_request_without_an_answer(tmp_path):
+    """Stops, reloads, configuration changes and releases in series that overlap."""
+    broken = await run_seed(17, FAULT_S, tmp_path, Options(planned=True))
     assert broken == [], f"logs in {tmp_path}"
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 MAX_LINE_BYTES = 1024 * 1024
@@ -89,6 +90,7 @@
         status_calls: Number of STATUS commands received.
         port: Listening port, kept across restarts.
         public_port: Port to publish instead of the listening port, unless 0.
+        has_left: Whether the server has ended for good.
     """
 
     _incarnations = itertools.count(1)
@@ -114,6 +116,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self.port = 0
         self.public_port = 0
+        self.has_left = False
 
     async def start(self) -> None:
         """Listen on loopback, on the previous port if there was one."""
@@ -136,16 +139,25 @@
         return self._server is not None
 
     async def restart(self) -> None:
-        """Restart with the log kept, as a replica if another server was promoted."""
-        newest = max(server.term for server in self.group.servers)
-        if self.term < newest:
+        """Restart with the log kept, as a replica if another server was promoted.
+
+        A server that has left does not come back.
+        """
+        if self.has_left:
+            return
+        if self.term < self.group.newest_term():
             self.is_primary = False
         self.paused_for_term = 0
         await self.start()
         self.group.catch_up(self)
 
     async def restart_empty(self) -> None:
-        """Restart as a replica with an empty log, under the same id and address."""
+        """Restart as a replica with an empty log, under the same id and address.
+
+        A server that has left does not come back.
+        """
+        if self.has_left:
+            return
         await self.stop()
         self.log = []
         self.applied_count = 0
@@ -221,6 +233,7 @@
                 if line == "TERMINATE":
                     return
                 _, request_id, text = line.split(" ", 2)
+                self.group.received_request_ids.add(request_id)
                 response = await self._respond(session, request_id, text)
                 if response is None:
                     writer.transport.abort()
@@ -394,6 +407,10 @@
     return f"{log[-1].term}.{log[-1].number}"
 
 
+def _discard(text: str) -> None:
+    """Record nothing."""
+
+
 class ServerGroup:
     """A primary and its replicas.
 
@@ -406,8 +423,12 @@
         connection_limit: Limit on open connections per server.
         first_term: Term of the servers at the start.
         executed_statements: Statements that the servers ran, in order.
+        received_request_ids: Ids of the requests that reached a server.
+        record_event: Called with a line for each promotion, with the log positions of
+            all servers.
         unreachable_replica_ids: Ids of replicas that receive no entries from the
             primary.
+        left_server_ids: Ids of servers that have left for good.
     """
 
     def __init__(
@@ -430,12 +451,16 @@
         self.connection_limit = connection_limit
         self.first_term = first_term
         self.executed_statements: list[ExecutedStatement] = []
+        self.received_request_ids: set[str] = set()
+        self.record_event: Callable[[str], None] = _discard
         self.servers = [
             LineServer(self, f"{name}-{number}", zone)
             for number, zone in enumerate(zones)
         ]
         self.servers[0].is_primary = True
         self.unreachable_replica_ids: set[str] = set()
+        self.left_server_ids: set[str] = set()
+        self._highest_term = first_term
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> None:
@@ -450,6 +475,47 @@
         for server in self.servers:
             await server.stop()
 
+    async def add_server(
+        self, server_id: str, zone: str, port: int = 0, public_port: int = 0
+    ) -> LineServer:
+        """Start a further replica, which receives the primary's log.
+
+        Args:
+            server_id: Its id.
+            zone: Its failure domain.
+            port: Port to listen on, or 0 for a free one.
+            public_port: Port to publish instead, or 0.
+
+        Returns:
+            The server.
+        """
+        server = LineServer(self, server_id, zone)
+        server.port, server.public_port = port, public_port
+        await server.start()
+        self.servers.append(server)
+        self.catch_up(server)
+        return server
+
+    async def remove_server(self, server: LineServer) -> None:
+        """End a server for good, and with it its log.
+
+        Args:
+            server: The server.
+        """
+        self.newest_term()
+        self.servers.remove(server)
+        self.left_server_ids.add(server.server_id)
+        server.has_left = True
+        server.is_primary = False
+        await server.stop()
+        server.log = []
+
+    def newest_term(self) -> int:
+        """Return the newest term that any server has reached."""
+        terms = [server.term for server in self.servers]
+        self._highest_term = max(self._highest_term, *terms)
+        return self._highest_term
+
     def by_id(self, server_id: str) -> LineServer:
         """Return the server with an id."""
         return next(item for item in self.servers if item.server_id == server_id)
@@ -503,7 +569,9 @@
         return False
 
     def begin_promotion(self, server_id: str) -> bool:
-        """Start the promotion of a server; False if it is not running."""
+        """Start the promotion of a server; False if it is not running or has left."""
+        if server_id in self.left_server_ids:
+            return False
         server = self.by_id(server_id)
         if not server.is_running:
             return False
@@ -513,7 +581,13 @@
 
     async def _promote(self, server: LineServer) -> None:
         await asyncio.sleep(self.promotion_delay_s)
-        server.term = max(item.term for item in self.servers) + 1
+        if server.has_left:
+            return
+        positions = ", ".join(
+            f"{other.server_id} at {other.received()}" for other in self.servers
+        )
+        server.term = self.newest_term() + 1
+        self.record_event(f"{server.server_id} leads term {server.term}: {positions}")
         server.paused_for_term = 0
         server.is_primary = True
         server.applied_count = len(server.log)
--- a/standins/line_server_test.py
+++ b/standins/line_server_test.py
@@ -46,6 +46,30 @@
     assert server.log == []
 
 
+async def test_a_server_that_has_left_does_not_come_back_or_lead():
+    group = ServerGroup("books", ("a", "b", "c"))
+    primary, replica, leaving = group.servers
+    await group.start()
+    try:
+        added = await group.add_server("books-new", "c")
+        entry = LogEntry(primary.term, 1, "k", "v", "r1")
+        primary.log = [entry]
+        group.replicate(primary)
+        assert added.log == leaving.log == [entry]
+        assert await group.wait_for_replicas(primary, entry)
+        await group.remove_server(leaving)
+        await leaving.restart()
+        assert not leaving.is_running and leaving.log == []
+        assert not group.begin_promotion(leaving.server_id)
+        assert [server.server_id for server in group.servers] == [
+            primary.server_id,
+            replica.server_id,
+            "books-new",
+        ]
+    finally:
+        await group.stop()
+
+
 class IdleSession:
     """A session outside a transaction."""
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -337,7 +337,9 @@
 
         async def write_entries() -> None:
             while True:
-                for server in group.servers:
+                for server_id in group.left_server_ids:
+                    await self.remove("servers", server_id)
+                for server in list(group.servers):
                     entry = server.make_store_entry()
                     if entry is None:
                         await self.remove("servers", server.server_id)
