--- a/bench/soak.py
+++ b/bench/soak.py
@@ -161,7 +161,7 @@
         self.write_settings()
         self.process = Process(
             f"vm-{self.number}",
-            ["pollencleat.daemon.main", "--on-platform"],
+            ["pollencleat.daemon", "--on-platform"],
             self._folder,
             {"POLLENCLEAT_BOOT": str(self._settings_path)},
         )
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -18,6 +18,7 @@
     GroupTerm,
     Inventory,
     Position,
+    ServerLog,
     ServerStatus,
     VmList,
     with_registered_servers,
@@ -86,6 +87,7 @@
         refused_at_s: When the server last refused a connection; None once it has
             answered again.
         applied: Log position in the latest statement reply that carried one.
+        applied_sent_at_s: When the request of that reply was sent.
         tracks_requests: Every request to the server is recorded, so that the time
             without an answer is exact; otherwise the server's position is sampled.
         open_requests: Requests that are neither answered nor abandoned.
@@ -107,6 +109,7 @@
     fresh_as_of_s: float = -1e9
     refused_at_s: float | None = None
     applied: Position | None = None
+    applied_sent_at_s: float = -1e9
     tracks_requests: bool = False
     open_requests: int = 0
     unanswered_since_s: float | None = None
@@ -231,10 +234,18 @@
             shares one.
         writes_ended_by_group: For each group, the latest notice that all writes had
             stopped for a change of primary.
+        leaving_since_by_server: When this node learned that a registered server is
+            about to shut down; long ago if it did when it first saw the server.
+        leaving_limit_s: Seconds after which a leaving server gets no new statements.
+        statuses_wanted: Servers whose status a controller wants to know soon.
         primary_learned_at_s: When this node learned of the current primary, by group.
         removal_learned_at_s: When this node learned of a member's removal, by
             incarnation.
         member_learned_at_s: When this node learned of a member, by incarnation.
+        departed_logs_by_group: Logs of servers that have ended, and when this node
+            learned of it.  They may have been the only ones besides the primary's that
+            held an acknowledged commit; they are dropped once that is excluded.
+        covered_logs_by_group: The newest departed logs that were dropped.
     """
 
     node_id: str
@@ -270,9 +281,18 @@
     effects: list[Effect] = field(default_factory=list)
     public_key: str = ""
     writes_ended_by_group: dict[str, WritesEnded] = field(default_factory=dict)
+    leaving_since_by_server: dict[str, float] = field(default_factory=dict)
+    leaving_limit_s: float = float("inf")
+    statuses_wanted: set[str] = field(default_factory=set)
     primary_learned_at_s: dict[str, float] = field(default_factory=dict)
     removal_learned_at_s: dict[str, float] = field(default_factory=dict)
     member_learned_at_s: dict[str, float] = field(default_factory=dict)
+    departed_logs_by_group: dict[str, dict[ServerLog, float]] = field(
+        default_factory=dict
+    )
+    covered_logs_by_group: dict[str, tuple[ServerLog, ...]] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         """Create the index of the initial fleet state."""
--- a/pollencleat/core/messages_test.py
+++ b/pollencleat/core/messages_test.py
@@ -5,14 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pollencleat.core.data import Fleet, GroupTerm, Member
+from pollencleat.core.data import Fleet, GroupTerm, Member, Position, ServerLog
 from pollencleat.core.messages import (
     COMPRESSED_PREFIX,
     MAX_MESSAGE_BYTES,
     Beat,
     DomainPromise,
+    SeenPosition,
     State,
     Versions,
+    WritesStopped,
     decode_message,
     encode_message,
 )
@@ -86,3 +88,53 @@
 def test_wrong_field_type_is_rejected():
     with pytest.raises(msgspec.ValidationError):
         decode_message(msgspec.msgpack.encode(["beat", 1]))
+
+
+class OlderWritesStopped(
+    msgspec.Struct, frozen=True, array_like=True, tag="writes_stopped"
+):
+    """WritesStopped of a build that reports no departed logs."""
+
+    node_id: str
+    incarnation: str
+    attempt_id: str
+    seen_by_group: dict[str, SeenPosition] = {}
+
+
+def test_confirmations_pass_between_this_build_and_one_without_departed_logs():
+    seen = {"g": SeenPosition(Position(3, 7), 0.5)}
+    older = OlderWritesStopped("n", "n-1", "a/1", seen)
+    newer = WritesStopped("n", "n-1", "a/1", seen, (ServerLog("s", 5),))
+    assert decode_message(encode_message(newer)) == newer
+    assert decode_message(msgspec.msgpack.encode(older)) == WritesStopped(
+        "n", "n-1", "a/1", seen
+    )
+    assert msgspec.msgpack.decode(encode_message(newer), type=OlderWritesStopped) == (
+        older
+    )
+
+
+@pytest.mark.parametrize("odd", [float("inf"), float("-inf"), float("nan")])
+@pytest.mark.parametrize("field", [2, 3, 6])
+def test_number_of_seconds_that_is_not_finite_is_rejected(odd, field):
+    """A promise or a platform read at such a time would never expire."""
+    beat = Beat("n", "i", 1.0, 1.0, "i", Versions(1, 2, 3), 1.0, True, (), False)
+    values = msgspec.msgpack.decode(encode_message(beat))
+    values[field + 1] = odd
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(msgspec.msgpack.encode(values))
+
+
+def test_deeply_nested_message_is_rejected():
+    beat = Beat("n", "i", 1.0, 1.0, "i", Versions(1, 2, 3), 1.0, True, (), False)
+    payload = bytearray(encode_message(beat))
+    payload[0] += 1
+    nested = b"\x91" * 100_000 + b"\xc0"
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(bytes(payload) + nested)
+
+
+def test_fleet_state_with_an_entry_under_a_wrong_key_is_rejected():
+    member = Member("n", "i", "a", "tcp://x:1", "", 0, True)
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(encode_message(State("n", Fleet(3, {"m": member}), None, None)))
--- a/pollencleat/core/sockets.py
+++ b/pollencleat/core/sockets.py
@@ -8,6 +8,10 @@
 """Milliseconds after which unacknowledged data closes a connection; without it, a
 network partition would keep a connection open for minutes."""
 
+CONNECT_ERRORS = (OSError, ValueError, OverflowError)
+"""What opening a connection raises; the last two if no host or port is like the one
+that was given, which depends on the event loop."""
+
 KEEPALIVE_INTERVAL_S = 1
 """Idle seconds before the first keep-alive probe, and seconds between two probes."""
 
@@ -31,6 +35,26 @@
         raise ConnectionResetError(str(error)) from error
 
 
+async def close_when_sent(writer: asyncio.StreamWriter, limit_s: float) -> bool:
+    """Close a connection and wait until everything written has been sent.
+
+    Args:
+        writer: The connection.
+        limit_s: Longest wait in seconds; then the connection is aborted.
+
+    Returns:
+        False if not everything was sent.
+    """
+    writer.close()
+    try:
+        async with asyncio.timeout(limit_s):
+            await writer.wait_closed()
+    except (OSError, TimeoutError):
+        writer.transport.abort()
+        return False
+    return True
+
+
 def configure_socket(writer: asyncio.StreamWriter) -> None:
     """Set socket options so that an unresponsive remote end closes the connection.
 
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -41,7 +41,7 @@
 from pollencleat.peers.transport import make_curve_keys
 from pollencleat.platform.clients import ClientConnection
 from pollencleat.platform.endpoints import HttpEndpoints
-from pollencleat.platform.objects import ObjectClient
+from pollencleat.platform.objects import ObjectClient, RefusedObjects
 from pollencleat.platform.orders import PlatformOrders
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import (
@@ -57,6 +57,7 @@
 from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import is_current_promoter
 from pollencleat.reports.logs import NonBlockingOutput
+from pollencleat.routing.departed_logs import DepartedLogController
 from pollencleat.routing.replica_positions import ReplicaPositionController
 
 BOARD_TICK_S = 0.1
@@ -84,12 +85,21 @@
 """Idle sessions that a node which lost its readiness closes per tick; a hundred take
 2.5 s, so that not all of them reconnect at the same moment."""
 
-STOP_RESERVE_S = 1.2
-"""Part of the grace period that is reserved for resigning and closing."""
+STOP_RESERVE = 1 / 8
+"""Part of the grace period that is kept for final answers, resigning and closing."""
+
+TRANSACTIONS_SHARE = 1 / 2
+"""Part of the grace period after which a stopping node begins no transaction."""
+
+FINAL_ANSWERS_LIMIT_S = 0.25
+"""Maximum time that a stopping node waits until its final answers are sent."""
 
 RESIGN_LIMIT_S = 0.7
 """Maximum time that a stopping node waits until its resignation is accepted."""
 
+EXIT_RESERVE_S = 0.15
+"""Part of the grace period that is reserved for the end of the process."""
+
 log = structlog.get_logger()
 
 
@@ -101,8 +111,12 @@
         super().__init__(settings.node_id, settings.failure_domain, {})
         self.settings = settings
         self.board.tracks_all_requests = True
+        self.board.leaving_limit_s = settings.leaving_limit_s
         self._output = output
-        self.client = ObjectClient(settings.store)
+        self.client = ObjectClient(
+            settings.store,
+            RefusedObjects(lambda kind: self.metrics.count("object_refused", kind)),
+        )
         self.orders = PlatformOrders(
             self.board,
             settings.promotion,
@@ -110,7 +124,7 @@
             lambda server_id: reserved_connections(self.board, server_id) > 0,
         )
         self.access = ServerAccess(
-            self.board, self.metrics, read_boottime_s, self._make_pool
+            self.board, self.metrics, read_boottime_s, self._make_pool, self.faults
         )
         keys = make_curve_keys()
         self.board.public_key = keys.public.decode()
@@ -122,6 +136,9 @@
             self.board, self.orders, self.access.servers_to_probe, read_boottime_s
         )
         self.access.probe_server = self.liveness.probe_now
+        self.departed_logs = DepartedLogController(
+            self.board, self.access.request_probe
+        )
         self.replica_positions = ReplicaPositionController(
             self.board, self.access.request_probe
         )
@@ -147,9 +164,7 @@
             LinkReply: self.borrower.on_link_reply,
             LeasesKnown: self.borrower.on_leases_known,
         }
-        self.listener = SessionListener(
-            self.access, ClientConnection, MAX_LINE_BYTES, self.faults
-        )
+        self.listener = SessionListener(self.access, ClientConnection, MAX_LINE_BYTES)
         self.endpoints = HttpEndpoints(self.metrics, self.faults)
         self._idle_check: asyncio.Task | None = None
         self._rotation = RotationWatch()
@@ -209,6 +224,7 @@
         )
 
     def _check_servers(self) -> None:
+        self.departed_logs.tick(read_boottime_s())
         self.replica_positions.tick(read_boottime_s())
         self.liveness.tick()
 
@@ -270,25 +286,41 @@
     async def stop(self) -> None:
         """Drain, resign and close within the grace period."""
         started_at_s = read_boottime_s()
-        log.info("draining", node=self.settings.node_id)
+        grace_s = self.settings.grace_s
+        sessions_at_start = len(self.listener.connections)
+        log.info("draining", node=self.settings.node_id, sessions=sessions_at_start)
         self.board.draining = True
-        deadline_s = started_at_s + self.settings.grace_s - STOP_RESERVE_S
-        await asyncio.sleep(OUT_OF_ROTATION_AFTER_S)
-        is_clean = await self.listener.drain(deadline_s - read_boottime_s())
+        transactions_until_s = started_at_s + grace_s * TRANSACTIONS_SHARE
+        deadline_s = started_at_s + grace_s * (1 - STOP_RESERVE)
+        await asyncio.sleep(min(OUT_OF_ROTATION_AFTER_S, grace_s * TRANSACTIONS_SHARE))
+        now_s = read_boottime_s()
+        is_clean = await self.listener.drain(
+            deadline_s - now_s, transactions_until_s - now_s
+        )
         while self.lender.is_busy and read_boottime_s() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
         is_clean = is_clean and not self.lender.is_busy
         if not is_clean:
-            log.warning("drain limit reached", limit_s=self.settings.grace_s)
+            log.warning("drain limit reached", limit_s=deadline_s - started_at_s)
+        self.access.close()
         self._close_leases()
+        await self.listener.end_sessions(FINAL_ANSWERS_LIMIT_S)
         self.liveness.close()
-        self.access.close()
-        await self.resign(RESIGN_LIMIT_S)
+        left_s = started_at_s + grace_s - EXIT_RESERVE_S - read_boottime_s()
+        await self.resign(min(RESIGN_LIMIT_S, left_s))
         await self.close_runtime()
         await self.orders.close()
         await self.client.close()
         self.metrics.close()
-        log.info("stopped", node=self.settings.node_id, clean=is_clean)
+        report = self.listener.report_stop()
+        report.sessions_at_start = sessions_at_start
+        log.info(
+            "stopped",
+            node=self.settings.node_id,
+            clean=is_clean,
+            ms=round((read_boottime_s() - started_at_s) * 1000),
+            **report.fields(),
+        )
         self._output.flush()
 
     async def abort(self) -> None:
--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -16,9 +16,12 @@
 from pollencleat.core.errors import (
     BackendDeclinedError,
     BackendError,
+    BackendUnreachableError,
+    DrainingError,
     UnknownDatabaseError,
     WritesUnavailableError,
 )
+from pollencleat.core.faults import ErrorRecorder
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply, Shape, Work
 from pollencleat.limits.gateways import is_pooled_at_gateways
@@ -27,7 +30,7 @@
 from pollencleat.membership.permits import holds_write_permit, writable_term
 from pollencleat.reports.metrics import Metrics
 from pollencleat.routing.freshness import is_primary_confirmed
-from pollencleat.routing.placement import Target
+from pollencleat.routing.placement import Target, has_left
 
 RETRY_AFTER_MS = 200
 """Delay after which a caller may retry while a primary is being replaced; a failover
@@ -129,8 +132,11 @@
         servers_to_probe: Ids of servers to probe soon.
         probe_server: Has the server with the given id probed.
         has_been_ready: Whether the node has been ready to serve callers at least once.
+        accepts_transactions: Whether new transactions may begin.
+        is_stopped: Whether no statement may use a server any more.
         gateways: Client for connections that are pooled on gateways, or None.
         hedge_budget: Limits how many reads are also sent to a second server.
+        faults: Records unexpected errors.
     """
 
     def __init__(
@@ -139,6 +145,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         make_pool: Callable[[BackendServer], ServerPool],
+        faults: ErrorRecorder | None = None,
     ) -> None:
         """Create the access to the servers on a blackboard.
 
@@ -147,7 +154,11 @@
             metrics: Counters of the node.
             clock: Local time in seconds.
             make_pool: Creates the connection pool of a server.
+            faults: Records unexpected errors; by default they are counted and logged.
         """
+        self.faults = faults or ErrorRecorder(
+            lambda part: metrics.count("unexpected_error", part)
+        )
         self.board = board
         self.metrics = metrics
         self.clock = clock
@@ -155,6 +166,8 @@
         self.servers_to_probe: set[str] = set()
         self.probe_server: Callable[[str], None] = self.request_probe
         self.has_been_ready = False
+        self.accepts_transactions = True
+        self.is_stopped = False
         self.gateways: GatewayClient | None = None
         self.hedge_budget = RetryBudget()
 
@@ -166,7 +179,8 @@
         Args:
             is_ready: Whether the node accepts new callers.
         """
-        self.pools.apply_board()
+        if not self.is_stopped:
+            self.pools.apply_board()
         self.has_been_ready = self.has_been_ready or is_ready
 
     def route_of(self, database: str) -> Route:
@@ -199,8 +213,13 @@
             WritesUnavailableError: The node holds no write permit, the group has no
                 primary, or the primary has no pool on this node.
         """
-        term = writable_term(self.board, group_id, self.clock())
-        if term is not None and term.primary in self.pools.pools_by_server:
+        now_s = self.clock()
+        term = writable_term(self.board, group_id, now_s)
+        if (
+            term is not None
+            and term.primary in self.pools.pools_by_server
+            and not has_left(self.board, term.primary, now_s)
+        ):
             return term
         raise WritesUnavailableError(self.why_not_writable(group_id), RETRY_AFTER_MS)
 
@@ -220,6 +239,8 @@
             return f"group {group_id}: a primary is being promoted"
         if not holds_write_permit(self.board, self.clock()):
             return f"group {group_id}: this node holds no write permit"
+        if has_left(self.board, term.primary, self.clock()):
+            return f"group {group_id}: primary {term.primary} is shutting down"
         return f"group {group_id}: primary {term.primary} is not registered"
 
     def is_still_writable(self, term: GroupTerm) -> bool:
@@ -253,7 +274,7 @@
             OverloadedError: The wait would be too long.
             BackendUnreachableError: No connection could be opened.
         """
-        pool = self.pools.pools_by_server[target.server_id]
+        pool = self._require_pool(target.server_id)
         if self.uses_gateways(target.server_id):
             connection_request = self.make_connection_request(
                 target, route, session, is_read
@@ -283,9 +304,12 @@
 
         Returns:
             The request.
+
+        Raises:
+            BackendUnreachableError: The server has left.
         """
         return ConnectionRequest(
-            self.pools.pools_by_server[target.server_id].server,
+            self._require_pool(target.server_id).server,
             session.account,
             route.latency_objective_ms / 1000 * QUEUE_SHARE_OF_OBJECTIVE,
             target.term.term if target.term is not None else ANY_TERM,
@@ -294,14 +318,22 @@
             make_work_kind(route, session),
         )
 
+    def _require_pool(self, server_id: str) -> ServerPool:
+        pool = self.pools.pools_by_server.get(server_id)
+        if pool is None:
+            raise BackendUnreachableError(
+                f"server {server_id} has left", RETRY_AFTER_MS
+            )
+        return pool
+
     def uses_gateways(self, server_id: str) -> bool:
         """Return whether a server is reached through gateways, not from this node.
 
         Args:
-            server_id: Id of a server that has a pool.
+            server_id: Id of a server; False if it has left.
         """
-        pool = self.pools.pools_by_server[server_id]
-        if self.gateways is None or pool.queue.capacity:
+        pool = self.pools.pools_by_server.get(server_id)
+        if pool is None or self.gateways is None or pool.queue.capacity:
             return False
         return is_pooled_at_gateways(self.board, pool.server)
 
@@ -395,7 +427,9 @@
         """
         if reply.position is None:
             return
-        self.board.server_view(server_id).applied = reply.position
+        view = self.board.server_view(server_id)
+        view.applied = reply.position
+        view.applied_sent_at_s = sent_at_s
         self._note_primary_position(server_id, reply.position, sent_at_s, group_id)
 
     async def open_tracked(
@@ -446,6 +480,25 @@
         bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
         bounds.add(term.term, sent_at_s, position)
 
+    def note_commit(
+        self, term: GroupTerm, reply: ServerReply, sent_at_s: float
+    ) -> None:
+        """Record the log position of a commit before it is acknowledged.
+
+        A server that accepts a write leads and has its log, whatever is suspected of
+        it.  A promotion relies on every acknowledged commit being recorded.
+
+        Args:
+            term: Term of the commit, in which this node may still write.
+            reply: The primary's reply.
+            sent_at_s: Local time in seconds at which the request was sent.
+        """
+        if reply.position is None:
+            return
+        group_id = term.group_id
+        bounds = self.board.bounds_by_group.setdefault(group_id, AcknowledgedBounds())
+        bounds.add(term.term, sent_at_s, reply.position)
+
     def newest_position(self, term: GroupTerm | None) -> Position | None:
         """Return the newest log position that the primary of a term has reported.
 
@@ -473,7 +526,7 @@
         """
         deadline_s = self.clock() + CONFIRM_TIMEOUT_S
         while not is_primary_confirmed(self.board, term):
-            if self.clock() > deadline_s:
+            if self.is_stopped or self.clock() > deadline_s:
                 return False
             self.probe_server(term.primary)
             await asyncio.sleep(CONFIRM_POLL_INTERVAL_S)
@@ -499,8 +552,21 @@
         """
         self.servers_to_probe.add(server_id)
 
+    def require_not_stopped(self) -> None:
+        """Raise if no statement may use a server any more.
+
+        Raises:
+            DrainingError: The node has stopped.
+        """
+        if self.is_stopped:
+            raise DrainingError("this node has stopped")
+
     def close(self) -> None:
-        """Close all connection pools."""
+        """Close all connection pools; no statement uses a server any more.
+
+        Statements at work fail as they do when the connections to their servers break.
+        """
+        self.is_stopped = True
         self.pools.close()
 
 
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import structlog
 
@@ -20,6 +21,9 @@
 """Time after a store outage within which live servers register again, as documented by
 the platform."""
 
+LONG_AGO_S = -1e9
+"""Local time before every event."""
+
 MAX_OLDER_LAPSED = 8
 """Lapsed servers kept per group in addition to the newest."""
 
@@ -98,9 +102,7 @@
         if known is not None and known.born_ms != server.born_ms:
             self._board.servers_by_id.pop(server_id, None)
         self._servers_by_id[server_id] = server
-        self._leaving.discard(server_id)
-        if leaving:
-            self._leaving.add(server_id)
+        self._set_leaving(server_id, leaving, known is None)
         self._changed_revision = max(self._changed_revision, revision)
         log.info(
             "server registered",
@@ -112,11 +114,23 @@
             revision=revision,
         )
 
+    def _set_leaving(self, server_id: str, leaving: bool, is_new: bool) -> None:
+        """Note whether a server is leaving, and since when this node knows it."""
+        since_by_server = self._board.leaving_since_by_server
+        if not leaving:
+            self._leaving.discard(server_id)
+            since_by_server.pop(server_id, None)
+            return
+        self._leaving.add(server_id)
+        # It may have announced this long before its entry was read first.
+        since_s = LONG_AGO_S if is_new else self._clock()
+        since_by_server.setdefault(server_id, since_s)
+
     def _discard_lapsed(self, server: BackendServer) -> None:
         """Discard lapsed servers with the id or the address of a registered server.
 
-        They have returned, or cannot return because their address is in use again, so
-        that no promotion needs to wait for them.
+        They have returned, or cannot return because their address is in use again.
+        What their logs may have held is tracked in routing/departed_logs.py.
         """
         for group_id, lapsed in self._lapsed_by_group.items():
             self._lapsed_by_group[group_id] = tuple(
@@ -148,7 +162,7 @@
         server = self._servers_by_id.pop(server_id)
         self._missing_since_s.pop(server_id, None)
         if server_id in self._leaving:
-            self._leaving.discard(server_id)
+            self._set_leaving(server_id, False, False)
         else:
             lapsed = self._lapsed_by_group.get(server.group_id, ())
             self._lapsed_by_group[server.group_id] = (
@@ -174,6 +188,12 @@
         Args:
             revision: Unused; the revision of the newest change is published.
         """
+        lapsed_by_group = {
+            group_id: tuple(server.server_id for server in lapsed)
+            for group_id, lapsed in self._lapsed_by_group.items()
+        }
+        if self._changed_revision == self._board.vms.version:
+            self._add_lapsed(lapsed_by_group)
         if self._changed_revision <= self._board.vms.version:
             return
         self._board.adopt_vms(
@@ -182,9 +202,20 @@
                 None,
                 tuple(sorted(self._leaving)),
                 dict(self._servers_by_id),
-                {
-                    group_id: tuple(server.server_id for server in lapsed)
-                    for group_id, lapsed in self._lapsed_by_group.items()
-                },
+                lapsed_by_group,
             )
         )
+
+    def _add_lapsed(self, lapsed_by_group: dict[str, tuple[str, ...]]) -> None:
+        """Add known lapsed servers to a published list of the same revision.
+
+        It came from a peer that may have been started since they lapsed.
+        """
+        vms = self._board.vms
+        merged = dict(vms.lapsed_by_group)
+        for group_id, lapsed in lapsed_by_group.items():
+            merged[group_id] = tuple(
+                dict.fromkeys((*merged.get(group_id, ()), *lapsed))
+            )
+        if merged != vms.lapsed_by_group:
+            self._board.vms = replace(vms, lapsed_by_group=merged)
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -1,17 +1,21 @@
 """Serves callers over the platform's line protocol."""
 
 import asyncio
+import contextlib
 
 import structlog
 
 from pollencleat.core.errors import (
     CallerError,
+    DrainingError,
     MalformedStatementError,
     PollencleatError,
+    TransactionLostError,
     UnknownDatabaseError,
 )
 from pollencleat.core.sockets import write_bytes
 from pollencleat.engine.access import ServerAccess
+from pollencleat.engine.endings import EndReason, SessionActivity, SessionEnd
 from pollencleat.engine.executor import SessionExecutor
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import Answer
@@ -35,10 +39,24 @@
 """Seconds between two checks whether the process has joined the fleet."""
 
 CLOSE_IDLE_AFTER_S = 0.3
-"""A session counts as idle after this time; before, a request may be in transit."""
+"""A session counts as idle after this time; before, its next request is probably about
+to be sent."""
+
+LEAVE_LIMIT_S = 1.0
+"""How long a session whose end was announced stays open for its caller to close it."""
+
+LAST_READ_S = 0.05
+"""Time after LEAVE_LIMIT_S in which what has arrived is still read: after a suspension
+of the process, the limit may pass before the event loop has read the socket."""
 
 TOO_LARGE_CODE = "TOOLARGE"
 
+_announcements_by_reason = {
+    EndReason.STOPPING: "this node is stopping",
+    EndReason.UNREADY: "this node is not ready",
+    EndReason.LIMIT: "this node has stopped",
+}
+
 log = structlog.get_logger()
 
 
@@ -60,14 +78,21 @@
         self.opened_at_s = self._last_used_s
         self._is_finishing = False
         self._is_closing = False
+        self._leave_timer: asyncio.TimerHandle | None = None
         self.executor: SessionExecutor | None = None
+        self.end: SessionEnd | None = None
+        self.request_id = ""
 
     async def serve(self) -> None:
         """Serve until the caller leaves or the connection is closed."""
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
                 line = await read_line(self._reader)
-            if line is None or not await self._start(line):
+            if line is None or self.end is not None:
+                return
+            async with self._lock:
+                is_started = await self._start(line)
+            if not is_started:
                 return
             while await self._serve_next():
                 pass
@@ -75,6 +100,8 @@
             # After an unreadable line, the start of the next one is unknown.
             self._write(encode_line("ERROR", TOO_LARGE_CODE, error.detail))
         finally:
+            if self._leave_timer is not None:
+                self._leave_timer.cancel()
             if self.executor is not None:
                 async with self._lock:
                     await self.executor.close()
@@ -110,16 +137,23 @@
         """Wait until a process that just started has its configuration and permit."""
         deadline_s = self._access.clock() + JOIN_TIMEOUT_S
         while not self._access.has_been_ready and self._access.clock() < deadline_s:
+            if self._is_finishing:
+                return
             await asyncio.sleep(JOIN_POLL_INTERVAL_S)
 
     async def _serve_next(self) -> bool:
         line = await read_line(self._reader)
         if line is None or line.startswith("TERMINATE"):
             return False
+        if self.end is not None:
+            await self._refuse(line)
+            return True
         self._last_used_s = self._access.clock()
         async with self._lock:
             try:
-                answer = await self.executor.execute(parse_statement(line))
+                statement = parse_statement(line)
+                self.request_id = statement.request_id
+                answer = await self.executor.execute(statement)
             except LineTooLongError:
                 raise
             except CallerError as error:
@@ -127,11 +161,24 @@
             else:
                 self._write_answer(answer)
         self._last_used_s = self._access.clock()
-        await self._writer.drain()
         if self._is_finishing and not self.executor.is_in_transaction:
-            return False
+            self.announce_end(EndReason.STOPPING, SessionActivity.ANSWERED)
+        await self._writer.drain()
         return not self._writer.is_closing()
 
+    async def _refuse(self, line: str) -> None:
+        """Complete the answer to a request that was sent before the end was known.
+
+        Its caller takes the error that announced the end as the answer.
+        """
+        request_id = line.split(" ", 2)[1] if " " in line else ""
+        self._access.metrics.count("request_refused_at_end")
+        log.info("request refused", reason=self.end.reason, request=request_id)
+        async with self._lock:
+            await self.executor.close()
+        self._write(self._ready_line("-"))
+        self._write_announcement(self.end.reason)
+
     def _write_answer(self, answer: Answer) -> None:
         lines = [encode_line("DATAROW", row) for row in answer.rows]
         lines.append(encode_line("COMPLETE", answer.receipt or "-"))
@@ -156,10 +203,12 @@
         return encode_line("READY", state, position)
 
     @property
-    def is_busy(self) -> bool:
-        """Whether a request or a transaction is open."""
-        if self._lock.locked():
-            return True
+    def is_answering(self) -> bool:
+        """Whether a request is at work."""
+        return self._lock.locked()
+
+    @property
+    def _is_in_transaction(self) -> bool:
         return self.executor is not None and self.executor.is_in_transaction
 
     async def end_idle_transaction(self, now_s: float) -> None:
@@ -171,16 +220,62 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether it has been idle long enough that no request is in transit."""
-        idle_s = self._access.clock() - self._last_used_s
-        return not self.is_busy and idle_s > CLOSE_IDLE_AFTER_S
+        """Whether no request is open, has arrived or is to be expected at once."""
+        if self.is_answering or self._is_in_transaction:
+            return False
+        if self.end is not None or self._unfinished_bytes:
+            return False
+        return self._access.clock() - self._last_used_s > CLOSE_IDLE_AFTER_S
+
+    @property
+    def _unfinished_bytes(self) -> int:
+        # StreamReader has no public count of what it has buffered.
+        return len(self._reader._buffer)
 
     def finish(self) -> None:
         """Close the connection after the next answer outside a transaction."""
         self._is_finishing = True
 
-    def close(self) -> None:
+    def announce_end(
+        self, reason: EndReason, activity: SessionActivity | None = None
+    ) -> None:
+        """Send an error that tells the caller to close the session.
+
+        A caller that has sent a request in the meantime takes the error as its answer;
+        the request is not run, and an open transaction is rolled back. The connection
+        is closed if the caller does not do so.
+
+        Args:
+            reason: Why the session ends.
+            activity: What the session was doing, or None to find out.
+        """
+        if self.end is not None or self._writer.transport.is_closing():
+            return
+        self._note_end(reason, activity or self._activity())
+        # If the connection has just broken, the next read reports it.
+        with contextlib.suppress(ConnectionResetError):
+            self._write_announcement(reason)
+        loop = asyncio.get_running_loop()
+        self._leave_timer = loop.call_later(LEAVE_LIMIT_S, self._close_after_last_read)
+
+    def _write_announcement(self, reason: EndReason) -> None:
+        error: CallerError = DrainingError(_announcements_by_reason[reason])
+        if self._is_in_transaction:
+            error = TransactionLostError(error.detail)
+        self._write(encode_line("ERROR", code_of_error(error), error.detail))
+
+    def _close_after_last_read(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._leave_timer = loop.call_later(LAST_READ_S, self._end_reading)
+
+    def close(self, reason: EndReason) -> None:
         """Close the connection; a request that was read already is answered first."""
+        if self._writer.transport.is_closing():
+            return
+        self._note_end(reason, self._activity())
+        self._end_reading()
+
+    def _end_reading(self) -> None:
         transport = self._writer.transport
         if self._is_closing or transport.is_closing():
             return
@@ -189,6 +284,33 @@
         transport.pause_reading()
         self._reader.feed_eof()
 
+    def _activity(self) -> SessionActivity:
+        if self.executor is None:
+            return SessionActivity.STARTING
+        if self.is_answering:
+            return SessionActivity.REQUEST
+        if self._is_in_transaction:
+            return SessionActivity.TRANSACTION
+        return SessionActivity.IDLE
+
+    def _note_end(self, reason: EndReason, activity: SessionActivity) -> None:
+        if self.end is not None:
+            return
+        idle_s = self._access.clock() - self._last_used_s
+        self.end = SessionEnd(
+            reason,
+            activity,
+            round(idle_s * 1000),
+            self._unfinished_bytes,
+            self.executor.session.database if self.executor is not None else "",
+            self.request_id,
+        )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that are not sent yet."""
+        return self._writer.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Break the connection."""
         self._writer.transport.abort()
--- a/pollencleat/platform/settings.py
+++ b/pollencleat/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads and validates the settings file that the platform provides."""
 
+import re
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -10,6 +11,17 @@
 SETTINGS_VARIABLE = "POLLENCLEAT_BOOT"
 """Environment variable with the path of the settings file."""
 
+MAX_PORT = 65_535
+MAX_HOST_CHARACTERS = 253
+"""Longest name that DNS allows."""
+
+_HOST = re.compile(rf"[0-9A-Za-z._:%\[\]-]{{1,{MAX_HOST_CHARACTERS}}}")
+_PORT = re.compile(r"[0-9]{1,5}")
+
+
+STATEMENT_DELAY_S = 1.0
+"""Longest time from the choice of a server until a statement reaches it."""
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
@@ -29,6 +41,7 @@
 
     Attributes:
         grace_s: Seconds between the stop request and the kill.
+        leaving_limit_s: Seconds after which a leaving server gets no new statements.
     """
 
     node_id: str
@@ -41,10 +54,13 @@
     store: Endpoint
     promotion: Endpoint
     grace_s: float
+    leaving_limit_s: float = 6.0
 
 
 class _Bounds(msgspec.Struct):
     grace_period_s: float
+    drain_ms: float = 7000.0
+    """Time after which a leaving server must receive no more statements."""
 
 
 class _Listen(msgspec.Struct):
@@ -108,6 +124,7 @@
         store=parse_endpoint(boot.platform.address),
         promotion=parse_endpoint(boot.cloud_api.address),
         grace_s=boot.bounds.grace_period_s,
+        leaving_limit_s=boot.bounds.drain_ms / 1000 - STATEMENT_DELAY_S,
     )
 
 
@@ -119,6 +136,8 @@
         return [_make_problem(path, section, "", "expected a JSON object")]
     problems = []
     for field in msgspec.structs.fields(kind):
+        if field.name not in content and not field.required:
+            continue
         if field.name not in content:
             problem = _make_problem(path, section, field.name, "the field is missing")
             problems.append(problem)
@@ -148,9 +167,11 @@
         The endpoint.
 
     Raises:
-        ValueError: The text has another form.
+        ValueError: The text has another form, or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"expected host:port, got {text!r}")
+    if not _HOST.fullmatch(host) or not _PORT.fullmatch(port):
+        raise ValueError(f"expected host:port, got {text[:MAX_HOST_CHARACTERS]!r}")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
     return Endpoint(host, int(port))
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -17,8 +17,8 @@
 import enum
 from dataclasses import dataclass, field
 
-from pollencleat.core.blackboard import Blackboard
-from pollencleat.core.bounds import is_before
+from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.bounds import is_before, log_end_of
 from pollencleat.core.constants import (
     MAX_CLOCK_DRIFT,
     PLATFORM_PERMIT_S,
@@ -29,6 +29,7 @@
     GroupTerm,
     Position,
     Promotion,
+    ServerLog,
     ServerStatus,
     TermStart,
 )
@@ -73,6 +74,7 @@
         stop_resend_interval_s: Time until StopWrites is sent again.
         old_primary_status: Status of the old primary after it was fenced, or None.
         chosen_server_id: Server that becomes primary; empty before the choice.
+        chosen_log_end: Last log entry that it had received when it was chosen, or None.
         start: Log position at which the chosen server started the term, or None.
         age_reference_s: Time from which the answer ages that members report are
             subtracted.  It is not later than any confirmation, so that answers appear
@@ -80,6 +82,9 @@
         statuses_by_server: Answers in the current query round; None for a failure.
         seen_by_incarnation: Highest log position that each node had received from the
             group's primary when it stopped writing, by incarnation.
+        reported_departed_logs: Departed logs that other members know and that may be
+            needed.
+        reported_covered_logs: Departed logs that other members know not to be needed.
         last_crash_at_s: When this node last learned of the removal of a member that had
             not resigned; such a member may have acknowledged commits until then.
         known_position_by_server: Log positions known when the attempt began.
@@ -87,6 +92,8 @@
         is_old_primary_asked: A probe of the old primary is in progress.
         is_withdrawn: The old primary still leads and is kept.
         are_follow_orders_sent: The other servers were ordered to follow the chosen one.
+        history: Starts of the group's latest terms, the replaced one last.
+        logged_choice: Server and reason to wait in the latest log line of the choice.
     """
 
     group_id: str
@@ -103,16 +110,21 @@
     stop_resend_interval_s: float = 0.0
     old_primary_status: ServerStatus | None = None
     chosen_server_id: str = ""
+    chosen_log_end: Position | None = None
     start: TermStart | None = None
     age_reference_s: float = 0.0
     statuses_by_server: dict[str, ServerStatus | None] = field(default_factory=dict)
     seen_by_incarnation: dict[str, SeenPosition | None] = field(default_factory=dict)
+    reported_departed_logs: set[ServerLog] = field(default_factory=set)
+    reported_covered_logs: set[ServerLog] = field(default_factory=set)
     last_crash_at_s: float = -1e9
     known_position_by_server: dict[str, int] = field(default_factory=dict)
     is_promote_pending: bool = False
     is_old_primary_asked: bool = False
     is_withdrawn: bool = False
     are_follow_orders_sent: bool = False
+    history: tuple[TermStart, ...] = ()
+    logged_choice: tuple[str, str] = ("", "")
 
     def enter(self, phase: Phase, now_s: float) -> None:
         """Switch to a phase and reset its query round.
@@ -158,13 +170,23 @@
         },
         last_crash_at_s=board.last_crash_at_s(),
         known_position_by_server={
-            server_id: view.status.received_position
+            server_id: find_known_position(view)
             for server_id, view in board.servers_by_id.items()
-            if view.status is not None
         },
+        history=term.history,
     )
 
 
+def find_known_position(view: ServerView) -> int:
+    """Return the highest log position, of any term, in a server's latest reports."""
+    reported = [0]
+    if view.status is not None:
+        reported.append(view.status.received_position)
+    if view.applied is not None:
+        reported.append(view.applied.position)
+    return max(reported)
+
+
 def can_keep_old_primary(attempt: Attempt) -> bool:
     """Return whether the old primary may be kept if it answers again.
 
@@ -254,12 +276,14 @@
     """Return the most advanced server that answered.
 
     Servers are compared by the term of their last log entry, then by log position.  A
-    server that has lost its log is not chosen while another server does not answer.
+    leaving server acknowledges commits until it ends, so it is passed over only for a
+    server with the same log.  A server that has lost its log is not chosen while
+    another server does not answer.
 
     Args:
         attempt: The attempt, with the answers of the current round.
         server_ids: The group's servers in declared order.
-        leaving: Servers that are chosen only if no other server qualifies.
+        leaving: Servers that are about to shut down.
 
     Returns:
         A server id, or None if no server qualifies.
@@ -274,31 +298,94 @@
         answered = [
             candidate for candidate in answered if not has_lost_log(attempt, candidate)
         ]
-    staying = [server_id for server_id in answered if server_id not in leaving]
     best = None
-    best_key = (-1, -1, False)
-    for server_id in staying or answered:
+    best_key = (-1, -1, False, False)
+    for server_id in find_successors(attempt, answered) or answered:
         status = attempt.statuses_by_server[server_id]
+        is_staying = server_id not in leaving
         # A server that is already writable is preferred as a group's first primary.
         is_primary = not attempt.promotion.old_primary and not status.read_only
-        key = (status.last_entry_term, status.received_position, is_primary)
+        key = (status.last_entry_term, status.received_position, is_staying, is_primary)
         if key > best_key:
             best = server_id
             best_key = key
     return best
 
 
+def find_successors(attempt: Attempt, answered: list[str]) -> list[str]:
+    """Return the servers that can succeed the old primary.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+        answered: Servers that answered.
+
+    Returns:
+        In a planned change, the other servers that have everything with which the old
+        primary began its term; otherwise all.
+    """
+    if not attempt.promotion.planned:
+        return answered
+    return [
+        server_id
+        for server_id in answered
+        if server_id != attempt.promotion.old_primary
+        and has_start_of_replaced_term(attempt, server_id)
+    ]
+
+
+def has_start_of_replaced_term(attempt: Attempt, server_id: str) -> bool:
+    """Return whether a server has everything with which the old primary began its term.
+
+    Commits of older terms may be in the old primary's log alone until other servers
+    have received its log up to there.
+
+    Args:
+        attempt: The attempt, with the answers of the current round.
+        server_id: A server that answered.
+
+    Returns:
+        True if the server's log reaches the start of the term that is replaced.
+    """
+    log_end = log_end_of(attempt.statuses_by_server[server_id])
+    return reaches_latest_term(attempt.history, log_end)
+
+
+def reaches_latest_term(history: tuple[TermStart, ...], log_end: Position) -> bool:
+    """Return whether a log has every entry with which the latest term began.
+
+    A log that ends in an older term can be longer and still lack entries, because a
+    promotion rolls back what the new primary did not have.
+
+    Args:
+        history: Starts of a group's latest terms, oldest first.
+        log_end: Term and position of the log's last entry.
+
+    Returns:
+        True if the log reaches the start of the last term, or if there was no term.
+    """
+    if not history:
+        return True
+    common_position = log_end.position
+    for start in history:
+        if start.term > log_end.term:
+            common_position = min(common_position, start.start_position)
+    return common_position >= history[-1].start_position
+
+
 def has_lost_log(attempt: Attempt, server_id: str) -> bool:
     """Return whether a server restarted without its former log.
 
     Args:
         attempt: The attempt, with the answers of the current round.
-        server_id: A server that answered.
+        server_id: A server.
 
     Returns:
-        True if its log is empty now and was not empty when the attempt began.
+        True if its log is empty now and was not empty when the attempt began; False if
+        it has not answered.
     """
-    status = attempt.statuses_by_server[server_id]
+    status = attempt.statuses_by_server.get(server_id)
+    if status is None:
+        return False
     if not status.read_only and status.term >= attempt.log_term:
         # This attempt has already promoted the server, and the answer was lost.
         return False
@@ -314,9 +401,11 @@
 ) -> bool:
     """Return whether a chosen server certainly has every acknowledged commit.
 
-    A commit that k replicas must acknowledge is on at least one held replica unless k
-    or more replicas did not answer; the chosen server is the most advanced of those
-    that answered.  If too many did not answer, the chosen server's log must reach the
+    What the old primary began its term with was acknowledged under older terms, and
+    may be in its log alone, so the chosen server must have received that.  A later
+    commit that k replicas must acknowledge is on at least one held replica unless k or
+    more replicas did not answer or have lost their logs; the chosen server is the most
+    advanced of those that answered.  Otherwise, the chosen server's log must reach the
     final position of the old primary, or the highest position that any node has
     received from it: every acknowledgement passed through one of the nodes.
 
@@ -331,19 +420,25 @@
         True if no acknowledged commit can be lost, or if the group does not require
         replicas to acknowledge commits.
     """
-    if not group.acknowledging_replicas or not attempt.promotion.old_primary:
+    old_primary = attempt.promotion.old_primary
+    if not group.acknowledging_replicas or not old_primary:
         return True
-    unanswered = [
+    unanswered = {
         replica_id
         for replica_id in (*group.server_ids, *unregistered)
-        if replica_id != attempt.promotion.old_primary
-        and attempt.statuses_by_server.get(replica_id) is None
-    ]
+        if attempt.statuses_by_server.get(replica_id) is None
+        or has_lost_log(attempt, replica_id)
+    }
+    if attempt.statuses_by_server.get(old_primary) is None:
+        unanswered.add(old_primary)
+    if unanswered and not has_start_of_replaced_term(attempt, server_id):
+        return False
+    unanswered.discard(old_primary)
     if len(unanswered) < group.acknowledging_replicas:
         return True
     old_status = attempt.old_primary_status
     if old_status is None:
-        old_status = attempt.statuses_by_server.get(attempt.promotion.old_primary)
+        old_status = attempt.statuses_by_server.get(old_primary)
     status = attempt.statuses_by_server[server_id]
     log_end = (status.last_entry_term, status.received_position)
     if (
@@ -423,3 +518,17 @@
         old_status.last_entry_term,
         old_status.position,
     )
+
+
+def format_log_end(status: ServerStatus | None) -> str:
+    """Return the last entry that a server received, for logs.
+
+    Args:
+        status: The server's status, or None.
+
+    Returns:
+        Term and position; empty without a status.
+    """
+    if status is None:
+        return ""
+    return f"{status.last_entry_term}.{status.received_position}"
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -5,12 +5,14 @@
 attempt, whose decisions are functions without I/O.
 """
 
+import structlog
+
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.bounds import log_end_of
 from pollencleat.core.data import (
     AuditEntry,
     DatabaseGroup,
     Fleet,
-    Position,
     ServerStatus,
 )
 from pollencleat.core.effects import (
@@ -37,11 +39,14 @@
     begin_attempt,
     can_keep_old_primary,
     choose_server,
+    find_acknowledgement_bound,
+    format_log_end,
     has_every_acknowledged_commit,
     has_permit_expired,
     is_caught_up,
     is_current_promoter,
 )
+from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
 
 PUBLISH_PURPOSE = "promotion publish"
 
@@ -61,6 +66,8 @@
 the 20 s bound for a change of primary; a shorter one would lose writes that the replica
 has received."""
 
+log = structlog.get_logger()
+
 
 class AttemptSteering:
     """Advances this node's attempts through their phases.
@@ -190,6 +197,8 @@
             attempt.seen_by_incarnation[message.incarnation] = (
                 message.seen_by_group.get(attempt.group_id)
             )
+            attempt.reported_departed_logs.update(message.departed_logs)
+            attempt.reported_covered_logs.update(message.covered_logs)
         self.advance(now_s)
 
     def on_fenced(self, result: ServerFenced) -> None:
@@ -211,6 +220,10 @@
             attempt.statuses_by_server = {}
             for server_id in server_ids:
                 self.board.effects.append(self._make_status_request(attempt, server_id))
+            return
+        group = self.board.inventory.groups_by_id[attempt.group_id]
+        if attempt.statuses_by_server:
+            self._choose(attempt, group, now_s)
 
     def _make_status_request(
         self, attempt: Attempt, server_id: str
@@ -281,33 +294,87 @@
         waited_s = now_s - attempt.phase_started_at_s
         if missing and waited_s < STATUS_TIMEOUT_S:
             return
+        round_s = now_s - attempt.servers_asked_at_s
+        if missing and attempt.promotion.planned and round_s < RETRY_INTERVAL_S:
+            # The old primary often answers first, and is the last choice.
+            return
         leaving = self.board.vms.leaving
         if attempt.promotion.planned:
             leaving = (*leaving, attempt.promotion.old_primary)
         chosen = choose_server(attempt, server_ids, leaving)
         if chosen is None:
+            self._log_choice(attempt, "", "no server qualifies", ())
             return
-        unregistered = self.board.vms.lapsed_by_group.get(attempt.group_id, ())
-        if not has_every_acknowledged_commit(attempt, group, chosen, unregistered):
-            return
+        missing_logs = find_missing_logs(self.board, attempt)
+        if not has_every_acknowledged_commit(attempt, group, chosen, missing_logs):
+            if can_waiting_help(self.board, attempt, group):
+                reason = "may lack acknowledged commits"
+                self._log_choice(attempt, chosen, reason, missing_logs)
+                return
+            log.warning("commits may be lost", group=attempt.group_id, server=chosen)
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
+            self._log_choice(attempt, chosen, "applies its log", missing_logs)
             if len(attempt.statuses_by_server) == len(server_ids):
                 attempt.servers_asked_at_s = now_s - STATUS_TIMEOUT_S + RETRY_INTERVAL_S
             return
         attempt.chosen_server_id = chosen
-        self._broadcast_writes_ended(attempt, chosen)
+        attempt.chosen_log_end = log_end_of(attempt.statuses_by_server[chosen])
+        self._log_choice(attempt, chosen, "", missing_logs)
+        self._broadcast_writes_ended(attempt)
         attempt.enter(Phase.PROMOTING, now_s)
         self._advance_promoting(attempt, now_s)
 
-    def _broadcast_writes_ended(self, attempt: Attempt, chosen: str) -> None:
+    def _log_choice(
+        self,
+        attempt: Attempt,
+        chosen: str,
+        waits_because: str,
+        missing_logs: tuple[str, ...],
+    ) -> None:
+        """Log the logs that were compared, once for each outcome of the choice.
+
+        Args:
+            attempt: The attempt.
+            chosen: The most advanced server, or empty.
+            waits_because: Why the server is not promoted yet; empty if it is.
+            missing_logs: Logs that cannot be asked and may be needed.
+        """
+        if attempt.logged_choice == (chosen, waits_because):
+            return
+        attempt.logged_choice = (chosen, waits_because)
+        vms = self.board.vms
+        seen = find_acknowledgement_bound(attempt)
+        log.info(
+            "promotion waits" if waits_because else "primary chosen",
+            group=attempt.group_id,
+            term=attempt.term,
+            server=chosen,
+            reason=waits_because,
+            positions_by_server={
+                server_id: format_log_end(status)
+                for server_id, status in attempt.statuses_by_server.items()
+            },
+            old_primary=attempt.promotion.old_primary,
+            fenced_at=format_log_end(attempt.old_primary_status),
+            members_saw=f"{seen.term}.{seen.position}" if seen else "",
+            unconfirmed=len(attempt.unconfirmed_incarnations),
+            leaving=[
+                server_id
+                for server_id in attempt.statuses_by_server
+                if server_id in vms.leaving
+            ],
+            unregistered=list(missing_logs),
+        )
+
+    def _broadcast_writes_ended(self, attempt: Attempt) -> None:
         """Announce the end of the old term's writes to all members.
 
         Replicas can then serve reads until the next primary is published.
         """
         board = self.board
-        status = attempt.statuses_by_server[chosen]
-        position = Position(status.last_entry_term, status.received_position)
-        message = WritesEnded(board.node_id, attempt.group_id, attempt.term, position)
+        message = WritesEnded(
+            board.node_id, attempt.group_id, attempt.term, attempt.chosen_log_end
+        )
         board.writes_ended_by_group[attempt.group_id] = message
         for node_id in board.fleet.members_by_id:
             if node_id != board.node_id:
@@ -328,6 +395,7 @@
                 attempt.chosen_server_id,
                 attempt.log_term,
                 attempt.term,
+                attempt.chosen_log_end,
             )
         )
 
