--- a/pollencleat/routing/departed_log_records_test.py
+++ b/pollencleat/routing/departed_log_records_test.py
@@ -50,7 +50,10 @@
         board = started.board
         board.vms = VmList()
         board.departed_logs_by_group.clear()
-        started.controller = DepartedLogController(board, started.probed.append)
+        board.vms_followers.clear()
+        started.controller = DepartedLogController(
+            board, started.probed.append, lambda: started.now_s
+        )
         started.servers = self.servers
         started.received = self.received
         started.acknowledged = self.acknowledged
