--- a/bench/odd_entries_test.py
+++ b/bench/odd_entries_test.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import base64
+import json
 import zlib
 
 import msgspec
 import pytest
+from click.testing import CliRunner
 
 from bench.platform_cluster import PlatformCluster
 from bench.soak import Soak
 from pollencleat.core.data import Fleet, Member
 from pollencleat.membership.fleet import with_member
 from pollencleat.platform.store import FLEET_KIND, FLEET_NAME, pack_fleet
+from pollencleat.tools.main import main
 from standins.object_store import RawJson
 
 DEPTH = 100_000
@@ -125,6 +128,20 @@
     assert_no_unexpected_error(cluster)
 
 
+async def test_command_line_shows_the_servers_beside_odd_entries(cluster):
+    """Lines about refused entries stood in the JSON output."""
+    await put_odd_servers(cluster, ODD_FIELDS["nested"])
+
+    def run():
+        command = ["platform", cluster.store.address, "--json"]
+        return CliRunner().invoke(main, command)
+
+    shown = await asyncio.to_thread(run)
+    known = {server.server_id for server in cluster.group.servers}
+    assert set(json.loads(shown.stdout)["vms"]["servers_by_id"]) == known
+    assert "refused: servers/a-odd-0" in shown.stderr
+
+
 ODD_CONFIGURATIONS = {
     "nested": RawJson(NESTED.text),
     "version": {"version": 10**30},
--- a/pollencleat/core/refusals.py
+++ b/pollencleat/core/refusals.py
@@ -14,12 +14,26 @@
 log = structlog.get_logger()
 
 
+def _log_refused(kind: str, name: str, reason: str) -> None:
+    log.warning("object refused", kind=kind, name=name, reason=reason)
+
+
 class RefusedObjects:
     """Logs and counts each object that cannot be used, once for each reason."""
 
-    def __init__(self, count: Callable[[str], None] = lambda kind: None) -> None:
-        """Call count with the kind of each refused object."""
+    def __init__(
+        self,
+        count: Callable[[str], None] = lambda kind: None,
+        report: Callable[[str, str, str], None] = _log_refused,
+    ) -> None:
+        """Create an empty record.
+
+        Args:
+            count: Called with the kind of each refused object.
+            report: Called with its kind and name and the reason; by default logs them.
+        """
         self._count = count
+        self._report = report
         self._reasons_by_object: dict[tuple[str, str], str] = {}
 
     def refuse(self, kind: str, name: str, reason: str) -> None:
@@ -33,8 +47,7 @@
         reason = reason[:MAX_REASON_CHARACTERS]
         if self._reasons_by_object.pop((kind, name), None) != reason:
             self._count(kind)
-            name_start = name[:MAX_NAME_CHARACTERS]
-            log.warning("object refused", kind=kind, name=name_start, reason=reason)
+            self._report(kind, name[:MAX_NAME_CHARACTERS], reason)
         self._reasons_by_object[(kind, name)] = reason
         while len(self._reasons_by_object) > MAX_REFUSED:
             del self._reasons_by_object[next(iter(self._reasons_by_object))]
--- a/pollencleat/tools/platform_commands.py
+++ b/pollencleat/tools/platform_commands.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from pollencleat.core.ports import PlatformState
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.core.versions import format_version
 from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.settings import parse_endpoint
@@ -25,7 +26,7 @@
         raise click.UsageError(str(error)) from error
 
     async def read() -> PlatformState:
-        client = ObjectClient(address)
+        client = ObjectClient(address, RefusedObjects(report=_report_refused))
         try:
             return await read_platform_state(client)
         finally:
@@ -35,6 +36,10 @@
     show(msgspec.to_builtins(state), as_json, lambda: render_state(state))
 
 
+def _report_refused(kind: str, name: str, reason: str) -> None:
+    click.echo(f"refused: {kind}/{name}: {reason}", err=True)
+
+
 def render_state(state: PlatformState) -> str:
     """Format the contents of the store as tables.
 
