The removal of an object that cannot be decoded is noticed

Callers saw: a server whose entry another writer had overwritten with an odd one, and which was then removed, stayed in use until the next complete list: the event of the removal holds the object's last content, could not be decoded and was dropped.

Why this works: a removal needs the object's name and revision only, which are taken from its own meta, as the name of a refused object is.

--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -39,6 +39,7 @@
 
 OBJECTS_PATH = "/api/objects"
 
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 ENTRIES_DEPTH = 2
 """Arrays and objects around the entries of a list or watch answer."""
 
@@ -107,6 +108,10 @@
     name: str
 
 
+class _EventOutline(msgspec.Struct, frozen=True):
+    deleted: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ObjectList:
     """All objects of a kind at a version of the store."""
@@ -335,7 +340,7 @@
 def _decode(body: bytes, kind: type) -> object:
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise StoreError(f"malformed answer of the store: {error}") from error
 
 
@@ -374,17 +379,35 @@
     for item in items:
         try:
             readable.append(msgspec.json.decode(item, type=kind))
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-            refuse(_find_name(bytes(item)), str(error))
+        except DECODE_ERRORS as error:
+            removal = _decode_removal(bytes(item)) if kind is ObjectEvent else None
+            if removal is None:
+                refuse(_find_name(bytes(item)), str(error))
+            else:
+                readable.append(removal)
     return readable
 
 
+def _decode_removal(event: bytes) -> ObjectEvent | None:
+    """Return the removal of an object whose content cannot be decoded."""
+    outline, _ = split_nested(event, 1)
+    meta = find_nested(find_nested(event, b"object"), b"meta")
+    try:
+        if not msgspec.json.decode(outline, type=_EventOutline).deleted:
+            return None
+        return ObjectEvent(
+            StoredObject(msgspec.json.decode(meta, type=ObjectMeta)), True
+        )
+    except DECODE_ERRORS:
+        return None
+
+
 def _find_name(entry: bytes) -> str:
     """Return the name of a malformed object or event; empty if it has none."""
     stored = find_nested(entry, b"object") or entry
     try:
         return msgspec.json.decode(find_nested(stored, b"meta"), type=_Name).name
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return ""
 
 
--- a/pollencleat/platform/objects_test.py
+++ b/pollencleat/platform/objects_test.py
@@ -69,6 +69,19 @@
     await client.close()
 
 
+@pytest.mark.parametrize("odd", ODD_CONTENTS.values(), ids=ODD_CONTENTS)
+async def test_removal_of_an_odd_object_is_noticed(store, odd):
+    """The server under such an entry was used until the next complete list."""
+    client = make_client(store)
+    await store.put("servers", "a", {"good": 1})
+    version = (await client.list_objects("servers")).version
+    await store.put("servers", "a", {"x": RawJson(odd)})
+    await store.remove("servers", "a")
+    events = (await client.watch("servers", version, 0.1)).events
+    assert [event.object.meta.name for event in events if event.deleted] == ["a"]
+    await client.close()
+
+
 async def test_list_without_a_name_to_continue_from_raises_a_typed_error(store):
     client = make_client(store)
     for name in ("a", "b", "c"):
