--- a/pollencleat/peers/transport.py
+++ b/pollencleat/peers/transport.py
@@ -285,6 +285,10 @@
         except msgspec.MsgspecError:
             self._on_malformed()
             return
+        except Exception as error:
+            self._on_malformed()
+            self._faults.record("decoding a message", error)
+            return
         try:
             self._on_message(message)
         except Exception as error:
