Promotion: an emptied log is no final position, whoever noticed it

What callers could see: the loss of acknowledged commits after a primary that is replaced came back empty.

Cause: the final position of an old primary counts as the end of all its commits unless a member reported a higher one. Before the members have confirmed, or if none of them had traffic, nothing contradicts an empty log, although the promoter itself knew a position of that server. Every server then reaches the final position.

Evidence, before the change:

> assert not has_every_acknowledged_commit(attempt, group, "r1") E AssertionError: assert not True FAILED pollencleat/promotion/attempt_test.py::test_empty_log_of_an_old_ primary_is_not_its_final_position_if_no_member_saw_more

What the promoter knew when the attempt began now counts as well.

--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -466,6 +466,9 @@
     """
     if attempt.promotion.cause == Suspicion.DEMOTED.value:
         return False
+    known = attempt.known_position_by_server.get(attempt.promotion.old_primary, 0)
+    if old_status.received_position == 0 and known > 0:
+        return False
     for seen in attempt.seen_by_incarnation.values():
         if seen is None:
             continue
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -235,3 +235,13 @@
     log = log[: data.draw(st.integers(0, len(log)))]
     log_end = Position(log[-1] if log else 0, len(log))
     assert reaches_latest_term(history, log_end) == (log[: len(start)] == start)
+
+
+def test_empty_log_of_an_old_primary_is_not_its_final_position_if_no_member_saw_more():
+    """Regression: only the members' reports counted, not what the promoter knew."""
+    attempt = make_attempt({"old": make_status(0), "r1": make_status(5), "r2": None})
+    attempt.old_primary_status = make_status(0)
+    attempt.known_position_by_server = {"old": 9}
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
