--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -25,6 +25,7 @@
     ReadRequest,
     RequestAtWork,
 )
+from pollencleat.core.refusals import RefusedObjects
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.daemon.readiness import (
     OUT_OF_ROTATION_AFTER_S,
@@ -41,7 +42,7 @@
 from pollencleat.peers.transport import make_curve_keys
 from pollencleat.platform.clients import ClientConnection
 from pollencleat.platform.endpoints import HttpEndpoints
-from pollencleat.platform.objects import ObjectClient, RefusedObjects
+from pollencleat.platform.objects import ObjectClient
 from pollencleat.platform.orders import PlatformOrders
 from pollencleat.platform.servers import ServerConnection, open_server_connection
 from pollencleat.platform.settings import (
@@ -57,6 +58,7 @@
 from pollencleat.platform.wire import MAX_LINE_BYTES
 from pollencleat.promotion.attempt import is_current_promoter
 from pollencleat.reports.logs import NonBlockingOutput
+from pollencleat.routing.departed_log_records import DepartedLogRecorder
 from pollencleat.routing.departed_logs import DepartedLogController
 from pollencleat.routing.replica_positions import ReplicaPositionController
 
@@ -139,6 +141,7 @@
         self.departed_logs = DepartedLogController(
             self.board, self.access.request_probe, read_boottime_s
         )
+        self.departed_log_recorder = DepartedLogRecorder(self.board)
         self.replica_positions = ReplicaPositionController(
             self.board, self.access.request_probe
         )
@@ -225,6 +228,7 @@
 
     def _check_servers(self) -> None:
         self.departed_logs.tick(read_boottime_s())
+        self.departed_log_recorder.tick(read_boottime_s())
         self.replica_positions.tick(read_boottime_s())
         self.liveness.tick()
 
@@ -314,6 +318,7 @@
         self.metrics.close()
         report = self.listener.report_stop()
         report.sessions_at_start = sessions_at_start
+        await self.listener.abort()
         log.info(
             "stopped",
             node=self.settings.node_id,
--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -10,6 +10,7 @@
 )
 from pollencleat.core.messages import SeenPosition
 from pollencleat.promotion.attempt import (
+    REMOVED_PERMIT_EXPIRY_S,
     Attempt,
     choose_server,
     has_every_acknowledged_commit,
@@ -166,6 +167,20 @@
     assert has_every_acknowledged_commit(attempt, group, "r1")
 
 
+def test_removed_process_may_have_acknowledged_commits_until_its_permit_expired():
+    """Regression: only its removal counted, after which it could still write."""
+    attempt = make_attempt({"old": None, "r1": make_status(7), "r2": None})
+    attempt.age_reference_s = 100.0
+    attempt.last_crash_at_s = 98.0
+    group = make_group(1, ("old", "r1", "r2"))
+    seen_at_s = 98.0 + REMOVED_PERMIT_EXPIRY_S
+    for after_s, is_safe in ((-0.1, False), (0.1, True)):
+        age_s = attempt.age_reference_s - (seen_at_s + after_s)
+        seen = SeenPosition(Position(3, 7), age_s)
+        attempt.seen_by_incarnation = {"n-1": seen}
+        assert has_every_acknowledged_commit(attempt, group, "r1") is is_safe
+
+
 def make_planned_attempt(statuses, history):
     attempt = make_attempt(statuses, statuses["old"])
     attempt.promotion = Promotion("a/1", "n", "n-1", "old", True, "leaving")
@@ -232,3 +247,42 @@
     assert not has_old_primary_final_log(attempt)
     attempt.statuses_by_server["old"] = None
     assert not has_old_primary_final_log(attempt)
+
+
+def make_attempt_after_a_lost_acknowledger(seen):
+    """Return an attempt in which r1, which has all commits, does not answer."""
+    attempt = make_attempt({"old": None, "r1": None, "r2": make_status(60)})
+    attempt.history = (TermStart(2, 0), TermStart(3, 7))
+    attempt.seen_by_incarnation = seen
+    return attempt
+
+
+def test_old_primary_that_came_back_empty_has_no_final_position():
+    """Guards against a loss where no member that is left has seen the log's end."""
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt_after_a_lost_acknowledger({"n-1": None})
+    attempt.unconfirmed_incarnations = {"crashed-1"}
+    attempt.old_primary_status = make_status(0, term=1)
+    assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r2"
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
+
+
+def test_old_primary_that_follows_a_later_one_has_no_final_position():
+    """Guards against a loss after a promotion that a restored store has forgotten."""
+    group = make_group(1, ("old", "r1", "r2"))
+    attempt = make_attempt_after_a_lost_acknowledger({"n-1": None})
+    attempt.unconfirmed_incarnations = {"crashed-1"}
+    # It is a replica in term 4, which the members do not know.
+    attempt.old_primary_status = make_status(60, term=4)
+    attempt.statuses_by_server["r2"] = make_status(60, term=4)
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
+
+
+def test_position_seen_before_a_member_resigned_bounds_nothing():
+    """Guards against a loss of commits that only a member that has left had seen."""
+    group = make_group(1, ("old", "r1", "r2"))
+    seen = {"n-1": SeenPosition(Position(3, 50), 100.0)}
+    attempt = make_attempt_after_a_lost_acknowledger(seen)
+    # Another member acknowledged entries up to 90 and resigned 1 s before the attempt.
+    attempt.last_removal_at_s = -1.0
+    assert not has_every_acknowledged_commit(attempt, group, "r2")
--- a/pollencleat/promotion/controller_test.py
+++ b/pollencleat/promotion/controller_test.py
@@ -15,6 +15,7 @@
     Position,
     Promotion,
     RemovedMember,
+    ServerLog,
     ServerStatus,
     TermStart,
 )
@@ -398,6 +399,50 @@
     assert 4 <= len(stop_messages) <= 7
 
 
+def test_member_that_did_not_confirm_in_time_is_still_asked_while_a_choice_waits():
+    """A choice that needed its report waited until the attempt was taken over."""
+    board, controller = begin_attempt_of("primary lost")
+    attempt = controller.attempts_by_group["g"]
+    now_s = attempt.stop_deadline_s + 0.1
+    controller.tick(now_s)
+    assert attempt.phase is Phase.CHOOSING and attempt.unconfirmed_incarnations
+    board.outbox.clear()
+    for _ in range(20):
+        now_s += 0.1
+        controller.tick(now_s)
+    assert any(isinstance(item.message, StopWrites) for item in board.outbox)
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), now_s)
+    board.outbox.clear()
+    for _ in range(20):
+        now_s += 0.1
+        controller.tick(now_s)
+    assert not any(isinstance(item.message, StopWrites) for item in board.outbox)
+
+
+def test_old_primary_leads_again_if_no_successor_has_every_acknowledged_commit():
+    """A planned change waited for a replica that it had stopped from receiving."""
+    board, controller = begin_attempt_of("primary is leaving")
+    attempt = controller.attempts_by_group["g"]
+    attempt.promotion = replace(attempt.promotion, planned=True)
+    board.fleet.terms_by_group["g"] = replace(
+        board.fleet.terms_by_group["g"], promotion=attempt.promotion
+    )
+    board.departed_logs_by_group["g"] = {ServerLog("s", 1): 9.0}
+    controller.on_writes_stopped(WritesStopped("m", "m-1", "n-1/1"), 10.2)
+    statuses = {"p": 9, "r": 8}
+    now_s = 10.2
+    while now_s < 13.0:
+        now_s += 0.05
+        board.fleet_confirmed_at_s = now_s
+        controller.tick(now_s)
+        for server_id, number in statuses.items():
+            status = ServerStatus(7, number, number, 7, True, None, 7)
+            read = ServerStatusRead("n-1/1", server_id, status)
+            controller.on_status_read(read, now_s)
+    orders = [item for item in board.effects if isinstance(item, PromoteServer)]
+    assert [order.server_id for order in orders] == ["p"]
+
+
 def test_server_that_was_never_queried_is_not_suspected():
     """Regression (grown Volta, quiet-1): nodes that are not gateways send no requests
     to servers, and suspected every primary as lost."""
@@ -451,6 +496,7 @@
     term = GroupTerm("g", 2, "p", history=history)
     board.fleet = replace(board.fleet, terms_by_group={"g": term})
     board.vms = replace(board.vms, leaving=("p",))
+    board.tracks_all_requests = True
     return board
 
 
@@ -490,3 +536,51 @@
     board.inventory = replace(board.inventory, servers_by_id=servers)
     controller = PromotionController(board, 0.0)
     assert run(controller, board, steps(5.0, 7.0), True)
+
+
+def test_leaving_primary_that_crashes_is_lost():
+    """A leaving primary that does not answer must not wait for a successor that it can
+    no longer send its log to."""
+    board = make_board_with_leaving_primary()
+    board.server_view("r").applied = Position(1, 6)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+    board.server_view("p").record_request(7.0)
+    assert run(controller, board, steps(7.0, 12.0), True)
+
+
+def test_leaving_primary_that_refuses_connections_is_lost():
+    board = make_board_with_leaving_primary()
+    board.server_view("r").applied = Position(1, 6)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 7.0), True) == []
+    record_status_failure(board, "p", True, 7.0)
+    assert run(controller, board, steps(7.0, 12.0), True)
+
+
+def test_position_of_a_server_from_before_it_crashed_begins_no_planned_change():
+    """Regression (release-deaf2, seed 1, 46.16 s): a node that had asked the crashed
+    former primary nothing since the crash replaced the leaving primary by itself."""
+    board = make_board_with_leaving_primary()
+    view = board.server_view("r")
+    view.applied = Position(2, 8)
+    view.record_request(0.9)
+    view.record_request_ended(1.0, True)
+    board.vms = replace(board.vms, servers_by_id=board.inventory.servers_by_id)
+    controller = PromotionController(board, 0.0)
+    for now_s in steps(5.0, 7.0):
+        board.fleet_confirmed_at_s = now_s
+        controller.tick(now_s)
+    assert not [item for item in board.effects if isinstance(item, UpdateFleet)]
+
+
+def test_leaving_primary_past_its_limit_is_replaced_by_another_leaving_server():
+    """A primary that gets no more statements is of no use; one that leaves later is."""
+    board = make_board_with_leaving_primary()
+    board.leaving_limit_s = 6.0
+    board.leaving_since_by_server = {"p": 5.0, "r": 10.0}
+    board.vms = replace(board.vms, leaving=("p", "r"))
+    board.server_view("r").applied = Position(2, 8)
+    controller = PromotionController(board, 0.0)
+    assert run(controller, board, steps(5.0, 10.0), True) == []
+    assert run(controller, board, steps(11.0, 14.0), True)
