--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -945,3 +945,27 @@
     await wait_for(lambda: _knows_leaving(cluster, "books-0"))
     await asyncio.sleep(0.5)
     await wait_for(lambda: _answers_read(cluster, "only-on-2"), 5.0)
+
+
+@pytest.mark.xfail(strict=True, raises=AssertionError, reason="KNOWN-RED 13")
+async def test_read_does_not_miss_a_commit_that_an_unregistered_replica_acknowledged(
+    cluster,
+):
+    """While the store is down, nobody knows of the replica that has just started."""
+    max_age_s = 1.5
+    cluster.store.faults.down = True
+    cluster.group.unreachable_replica_ids.update(("books-1", "books-2"))
+    await cluster.group.add_server("books-new", "a")
+    client = await cluster.connect("main-db", 0)
+    assert not (await client.query("WRITE k only-on-new")).error
+    loop = asyncio.get_running_loop()
+    acknowledged_at_s = loop.time()
+    await cluster.group.servers[0].stop()
+    while (started_s := loop.time()) < acknowledged_at_s + 4.0:
+        for number in (0, 1):
+            reader = await cluster.connect("old-db", number)
+            answer = await reader.query("READ k")
+            reader.close()
+            if started_s > acknowledged_at_s + max_age_s and not answer.error:
+                assert answer.rows == ("only-on-new",)
+        await asyncio.sleep(0.05)
