--- a/pollencleat/routing/departed_logs.py
+++ b/pollencleat/routing/departed_logs.py
@@ -75,6 +75,7 @@
         self._board = board
         self._request_probe = request_probe
         self._clock = clock
+        self._vms = VmList()
         # Servers that are registered, or lapsed: these may come back with their logs.
         self._servers_by_id: dict[str, BackendServer] = {}
         self._schedules_by_log: dict[ServerLog, ProbeSchedule] = {}
@@ -84,12 +85,14 @@
         board.vms_followers.append(self._follow_vms)
 
     def tick(self, now_s: float) -> None:
-        """Drop the logs that no longer count.
+        """Record departures, and drop the logs that no longer count.
 
         Args:
             now_s: Local time.
         """
         board = self._board
+        if board.vms is not self._vms:
+            self._note_departures(board.vms, now_s)
         if board.vms.version and board.fleet.departed_logs_by_group:
             self._note_recorded(now_s)
         for group_id, logs in board.departed_logs_by_group.items():
@@ -125,6 +128,7 @@
                 logs = board.lapsed_logs_by_group.setdefault(server.group_id, set())
                 logs.add(_log_of(server))
         self._servers_by_id.update(vms.servers_by_id)
+        self._vms = vms
 
     def _note_recorded(self, now_s: float) -> None:
         """Adopt the departures that were recorded before this process knew the group.
