--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/attempt_test.py
@@ -286,3 +286,13 @@
     # Another member acknowledged entries up to 90 and resigned 1 s before the attempt.
     attempt.last_removal_at_s = -1.0
     assert not has_every_acknowledged_commit(attempt, group, "r2")
+
+
+def test_empty_log_of_an_old_primary_is_not_its_final_position_if_no_member_saw_more():
+    """Regression: only the members' reports counted, not what the promoter knew."""
+    attempt = make_attempt({"old": make_status(0), "r1": make_status(5), "r2": None})
+    attempt.old_primary_status = make_status(0)
+    attempt.known_position_by_server = {"old": 9}
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
