Promotion: the choice by the servers' logs is a module of its own

Moved without a change of logic: attempt.py holds an attempt's state and who may write, choice.py what the logs prove. attempt_test.py is choice_test.py, the same tests.

--- a/pollencleat/promotion/attempt_test.py
+++ b/pollencleat/promotion/choice_test.py
@@ -12,6 +12,8 @@
 from pollencleat.promotion.attempt import (
     REMOVED_PERMIT_EXPIRY_S,
     Attempt,
+)
+from pollencleat.promotion.choice import (
     choose_server,
     has_every_acknowledged_commit,
     has_old_primary_final_log,
--- a/pollencleat/promotion/detection.py
+++ b/pollencleat/promotion/detection.py
@@ -16,7 +16,9 @@
 from pollencleat.core.data import GroupTerm, Position, Promotion
 from pollencleat.core.index import rank_members
 from pollencleat.core.messages import Sighting, SightingRequest
-from pollencleat.promotion.attempt import reaches_latest_term
+from pollencleat.promotion.choice import (
+    reaches_latest_term,
+)
 from pollencleat.promotion.suspicion import (
     PeerSighting,
     Suspicion,
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -4,6 +4,8 @@
 from pollencleat.core.data import DatabaseGroup, ServerLog
 from pollencleat.promotion.attempt import (
     Attempt,
+)
+from pollencleat.promotion.choice import (
     has_lost_log,
     is_final_position_reliable,
 )
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -38,14 +38,16 @@
     Phase,
     begin_attempt,
     can_keep_old_primary,
+    has_permit_expired,
+    is_current_promoter,
+)
+from pollencleat.promotion.choice import (
     choose_server,
     find_acknowledgement_bound,
     format_log_end,
     has_every_acknowledged_commit,
     has_old_primary_final_log,
-    has_permit_expired,
     is_caught_up,
-    is_current_promoter,
 )
 from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
 
@@ -332,10 +334,7 @@
                 reason = "may lack acknowledged commits"
                 self._log_choice(attempt, chosen, reason, missing_logs)
                 return
-            else:
-                log.warning(
-                    "commits may be lost", group=attempt.group_id, server=chosen
-                )
+            log.warning("commits may be lost", group=attempt.group_id, server=chosen)
         if not is_caught_up(attempt, chosen) and waited_s < CATCH_UP_LIMIT_S:
             self._log_choice(attempt, chosen, "applies its log", missing_logs)
             if len(attempt.statuses_by_server) == len(server_ids):
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -24,6 +24,8 @@
 )
 from pollencleat.promotion.attempt import (
     Attempt,
+)
+from pollencleat.promotion.choice import (
     choose_server,
     has_every_acknowledged_commit,
 )
