--- a/bench/odd_entries_test.py
+++ b/bench/odd_entries_test.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner
 
 from bench.platform_cluster import PlatformCluster
-from bench.soak import Soak
+from bench.soak import Options, Soak
 from pollencleat.core.data import Fleet, Member
 from pollencleat.membership.fleet import with_member
 from pollencleat.platform.store import FLEET_KIND, FLEET_NAME, pack_fleet
@@ -301,7 +301,7 @@
 
 
 async def test_daemons_serve_beside_odd_entries(tmp_path):
-    broken = await OddEntriesRun(3, 0.0, tmp_path, nodes=3).run()
+    broken = await OddEntriesRun(3, 0.0, tmp_path, Options(nodes=3)).run()
     assert broken == []
     for path in tmp_path.glob("vm-*.log"):
         text = path.read_text(errors="replace")
