--- a/bench/soak.py
+++ b/bench/soak.py
@@ -628,7 +628,10 @@
     """
     with tempfile.TemporaryDirectory(prefix="pollencleat-soak-") as folder:
         soak = Soak(seed, fault_s, Path(folder), options)
-        broken = await soak.run()
+        try:
+            broken = await soak.run()
+        except TimeoutError as error:
+            broken = [f"START: {error}"]
         if broken and keep is not None:
             target = keep / f"seed-{seed}"
             target.mkdir(parents=True, exist_ok=True)
