Membership: a peer's newer list does not end servers that had only lapsed

Cause: a node that is started sends its list of servers to others. It lists no server that lapsed before the start. A promoter that adopted it took the crashed primary's log for gone for good, nothing was left to wait for, and a replica that lacked commits was promoted.

Why it works: servers that this node's list shows and the peer's list does not are kept as lapsed, unless they had announced that they leave. The node's own list of that revision corrects what it has seen itself, so that a reused address discards them as before.

--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -22,6 +22,7 @@
     ServerLog,
     ServerStatus,
     VmList,
+    with_lapsed_servers,
     with_registered_servers,
 )
 from pollencleat.core.effects import Effect, FleetUpdated
@@ -505,18 +506,20 @@
         self.inventory = with_registered_servers(inventory, self.vms)
         return True
 
-    def adopt_vms(self, vms: VmList) -> bool:
+    def adopt_vms(self, vms: VmList, is_from_peer: bool = False) -> bool:
         """Replace the known VM list if the given one is newer.
 
         Args:
             vms: A VM list of the platform.
+            is_from_peer: Whether another node made it, which may have been started
+                since servers lapsed that this node knows of.
 
         Returns:
             True if it was newer.
         """
         if vms.version <= self.vms.version:
             return False
-        self.vms = vms
+        self.vms = with_lapsed_servers(vms, self.vms) if is_from_peer else vms
         self.inventory = with_registered_servers(self.declared_inventory, vms)
         for follow in self.vms_followers:
             follow()
--- a/pollencleat/core/data.py
+++ b/pollencleat/core/data.py
@@ -411,6 +411,40 @@
     connected_at_s: float | None = None
 
 
+def with_lapsed_servers(newer: VmList, known: VmList) -> VmList:
+    """Add the lapsed servers that an older list shows to a newer one of another node.
+
+    Args:
+        newer: The list of another node.
+        known: This node's list.
+
+    Returns:
+        The newer list. Servers that lapsed by the known list, or that are in it alone
+        and had not announced that they leave, count as lapsed.
+    """
+    lapsed_by_group = {
+        group_id: list(ids) for group_id, ids in newer.lapsed_by_group.items()
+    }
+    candidates = [
+        (group_id, server_id)
+        for group_id, ids in known.lapsed_by_group.items()
+        for server_id in ids
+    ]
+    for server_id, server in known.servers_by_id.items():
+        if server_id not in known.leaving and server_id not in newer.leaving:
+            candidates.append((server.group_id, server_id))
+    for group_id, server_id in candidates:
+        lapsed = lapsed_by_group.setdefault(group_id, [])
+        if server_id not in newer.servers_by_id and server_id not in lapsed:
+            lapsed.append(server_id)
+    return replace(
+        newer,
+        lapsed_by_group={
+            group_id: tuple(ids) for group_id, ids in lapsed_by_group.items() if ids
+        },
+    )
+
+
 def with_registered_servers(inventory: Inventory, vms: VmList) -> Inventory:
     """Add the servers that registered themselves to a declared inventory.
 
--- a/pollencleat/membership/beats.py
+++ b/pollencleat/membership/beats.py
@@ -192,7 +192,7 @@
         if state.inventory is not None:
             self.board.adopt_inventory(state.inventory)
         if state.vms is not None:
-            self.board.adopt_vms(state.vms)
+            self.board.adopt_vms(state.vms, is_from_peer=True)
 
     def on_stop_writes(self, message: StopWrites, now_s: float) -> None:
         """Adopt a promotion and confirm that writes in older terms have stopped.
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -44,6 +44,7 @@
         self._clock = clock
         self._servers_by_id: dict[str, BackendServer] = {}
         self._leaving: set[str] = set()
+        self._seen: set[str] = set()
         self._lapsed_by_group: dict[str, tuple[BackendServer, ...]] = {}
         self._missing_since_s: dict[str, float] = {}
         self._is_store_unreachable = False
@@ -95,6 +96,7 @@
         """
         server_id = server.server_id
         self._missing_since_s.pop(server_id, None)
+        self._seen.add(server_id)
         self._discard_lapsed(server)
         known = self._servers_by_id.get(server_id)
         if known == server and (server_id in self._leaving) == leaving:
@@ -193,7 +195,7 @@
             for group_id, lapsed in self._lapsed_by_group.items()
         }
         if self._changed_revision == self._board.vms.version:
-            self._add_lapsed(lapsed_by_group)
+            self._correct_lapsed(lapsed_by_group)
         if self._changed_revision <= self._board.vms.version:
             return
         self._board.adopt_vms(
@@ -206,16 +208,17 @@
             )
         )
 
-    def _add_lapsed(self, lapsed_by_group: dict[str, tuple[str, ...]]) -> None:
-        """Add known lapsed servers to a published list of the same revision.
+    def _correct_lapsed(self, lapsed_by_group: dict[str, tuple[str, ...]]) -> None:
+        """Correct the lapsed servers of a published list of the same revision.
 
-        It came from a peer that may have been started since they lapsed.
+        It came from a peer. What it says of servers that this node has never seen
+        registered is kept.
         """
         vms = self._board.vms
-        merged = dict(vms.lapsed_by_group)
-        for group_id, lapsed in lapsed_by_group.items():
-            merged[group_id] = tuple(
-                dict.fromkeys((*merged.get(group_id, ()), *lapsed))
-            )
+        merged = dict(lapsed_by_group)
+        for group_id, ids in vms.lapsed_by_group.items():
+            unseen = [server_id for server_id in ids if server_id not in self._seen]
+            merged[group_id] = (*merged.get(group_id, ()), *unseen)
+        merged = {group_id: ids for group_id, ids in merged.items() if ids}
         if merged != vms.lapsed_by_group:
             self._board.vms = replace(vms, lapsed_by_group=merged)
--- a/pollencleat/membership/directory_test.py
+++ b/pollencleat/membership/directory_test.py
@@ -88,3 +88,36 @@
     board.adopt_vms(VmList(2, None, (), {"old": SERVER}, {"g": ("gone",)}))
     directory.publish(2)
     assert lapsed_of(board) == ("gone",)
+
+
+def test_list_of_a_process_started_since_keeps_what_this_node_knows_as_lapsed():
+    """Regression (Volta, leaving-servers): a crashed primary's log counted as gone for
+    good when a restarted node sent its list, and a replica without commits led."""
+    board, directory, _ = make_directory([SERVER])
+    other = replace(SERVER, server_id="other", port=8002)
+    directory.update(other, False, 2)
+    directory.publish(2)
+    directory.remove("old", 3)
+    directory.publish(3)
+    board.adopt_vms(VmList(4, None, (), {}), is_from_peer=True)
+    assert set(lapsed_of(board)) == {"old", "other"}
+
+
+def test_server_that_left_by_the_known_list_is_not_lapsed_by_a_list_of_a_peer():
+    board, directory, _ = make_directory([SERVER])
+    directory.update(SERVER, True, 2)
+    directory.publish(2)
+    board.adopt_vms(VmList(3, None, (), {}), is_from_peer=True)
+    assert lapsed_of(board) == ()
+
+
+def test_reused_address_discards_a_lapsed_server_that_a_list_of_a_peer_has_kept():
+    board, directory, _ = make_directory([SERVER])
+    directory.remove("old", 2)
+    directory.publish(2)
+    other = replace(SERVER, server_id="other")
+    board.adopt_vms(VmList(3, None, (), {"other": other}), is_from_peer=True)
+    assert lapsed_of(board) == ("old",)
+    directory.update(other, False, 3)
+    directory.publish(3)
+    assert lapsed_of(board) == ()
