Fleet state: the log of a leaving server is recorded while it still runs

What callers saw: four acknowledged writes lost in a soak with departures.

Cause: all processes were killed (8.02 s to 8.81 s) while a server that had announced that it leaves ended (8.28 s). The primary had crashed at 6.45 s with its log at 3.180, as the leaving server had. No process saw the leaving server go, so that the new promoter took 3.176 for complete.

"primary chosen" term 2, books-1, positions books-1 3.176, books-new-1 3.176, books-new-2 3.0, unregistered []

As a unit test, before the change (departed_log_records_test.py, test_log_of_a_leaving_server_is_known_if_no_process_sees_it_go):

E assert 0 == 1

A leaving server's log is now recorded 2 s after it announced that it leaves, and dropped once it is covered. That costs two updates of the fleet object for each server that is released. Still not covered: all processes crash within 2 s of the departure of a server that had announced nothing.

--- a/pollencleat/routing/departed_log_records.py
+++ b/pollencleat/routing/departed_log_records.py
@@ -1,8 +1,8 @@
 """Records departed logs in the fleet state, for processes that start later.
 
-Nearly all departed logs are covered before they are recorded, so that a departure
-usually costs no update.  Those that are not, because a replica lags or receives
-nothing, are known to a fleet that is started anew as a whole.
+A server that leaves is recorded while it still runs, since all processes may be
+restarted while it ends.  The log of another server is recorded only if it is not
+covered soon, because a replica lags or receives nothing.
 """
 
 from pollencleat.core.blackboard import Blackboard
@@ -81,8 +81,14 @@
         not_needed = set(board.covered_logs_by_group.get(group_id, ()))
         for server_id in group.server_ids:
             server = board.inventory.servers_by_id[server_id]
-            not_needed.add(ServerLog(server_id, server.born_ms))
+            registered = ServerLog(server_id, server.born_ms)
+            if server_id in board.vms.leaving:
+                # All processes may be restarted while it ends.
+                needed.add(registered)
+            else:
+                not_needed.add(registered)
         if not group.acknowledging_replicas:
+            needed.clear()
             not_needed |= recorded
         added = needed - recorded - self._seen_recorded - not_needed
         return added | (recorded & not_needed)
--- a/pollencleat/routing/departed_log_records_test.py
+++ b/pollencleat/routing/departed_log_records_test.py
@@ -142,3 +142,19 @@
     attempt.unconfirmed_incarnations = set()
     declared = started.board.inventory.groups_by_id["g"]
     assert can_waiting_help(started.board, attempt, declared)
+
+
+def test_log_of_a_leaving_server_is_known_if_no_process_sees_it_go():
+    """All processes were killed while a leaving server ended (soak, seed 270105)."""
+    group = RecordedGroup()
+    group.commit("s")
+    group.leaving.add("s")
+    group.publish()
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    assert group.recorded() == (LOG,) and not group.open_logs()
+    assert group.run(10.0) == 0
+    del group.servers["s"]
+    del group.received["s"]
+    started = group.start_anew()
+    assert started.open_logs() == [LOG]
+    assert not started.find_lost_commit()
