Mixed fleet: builds of before the daemon's own module start again

python -m bench.mixed against an older build failed at its start since: the soak runs pollencleat.daemon, which they do not have.

--- a/bench/mixed.py
+++ b/bench/mixed.py
@@ -56,6 +56,9 @@
         promotions: Replicas promoted, by build of the promoting entry VM.
     """
 
+    # Builds of before pollencleat/daemon/__main__.py have no other.
+    daemon_module = "pollencleat.daemon.main"
+
     def __init__(self, seed: int, folder: Path, other: Path, first_half: int) -> None:
         """Prepare a run; `first_half` (0 or 1) selects the half upgraded first."""
         super().__init__(seed, 0.0, folder, Options(NODES, CONNECTIONS))
@@ -90,7 +93,7 @@
             self._log_start_by_vm[f"vm-{vm.number}"] = log_path.stat().st_size
             vm.process = Process(
                 f"vm-{vm.number}",
-                ["pollencleat.daemon.main", "--on-platform"],
+                [self.daemon_module, "--on-platform"],
                 self.folder,
                 {
                     **environment_of(THIS_BUILD),
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -100,6 +100,9 @@
 """Grace period in seconds of a process that is stopped."""
 
 
+DAEMON_MODULE = "pollencleat.daemon"
+
+
 @dataclass(frozen=True)
 class Options:
     """What a run is made of.
@@ -127,13 +130,20 @@
 class EntryVm:
     """One daemon process and its link to the platform."""
 
-    def __init__(self, number: int, store: ObjectStoreStandIn, folder: Path) -> None:
-        """Create the link to the platform; start() starts the process."""
+    def __init__(
+        self,
+        number: int,
+        store: ObjectStoreStandIn,
+        folder: Path,
+        module: str = DAEMON_MODULE,
+    ) -> None:
+        """Create the link to the platform; start() runs the module of the daemon."""
         host, _, port = store.address.rpartition(":")
         self.link = FaultyLink(host, int(port))
         self.number = number
         self.callers_port = 0
         self._folder = folder
+        self._module = module
         self._settings_path = folder / f"vm-{number}.json"
         self.process: Process | None = None
         self.is_claimed = False
@@ -161,7 +171,7 @@
         self.write_settings()
         self.process = Process(
             f"vm-{self.number}",
-            ["pollencleat.daemon", "--on-platform"],
+            [self._module, "--on-platform"],
             self._folder,
             {"POLLENCLEAT_BOOT": str(self._settings_path)},
         )
@@ -198,7 +208,13 @@
 
 
 class Soak:
-    """One soak run, with its stand-ins, entry VMs and recorded history."""
+    """One soak run, with its stand-ins, entry VMs and recorded history.
+
+    Attributes:
+        daemon_module: Module that the entry VMs run.
+    """
+
+    daemon_module = DAEMON_MODULE
 
     def __init__(
         self,
@@ -277,7 +293,7 @@
         self.store.register_group(self.group)
         await self.put_configuration()
         for number in range(self.options.nodes):
-            vm = EntryVm(number, self.store, self.folder)
+            vm = EntryVm(number, self.store, self.folder, self.daemon_module)
             self.vms.append(vm)
             await vm.start()
         await self._wait_until_all_writable(START_LIMIT_S)
