Promotion: a choice waits a limited time for servers that may have ended for good

What callers saw: a group without a primary for ever, with every commit at hand (soak).

Cause: a leaving primary ended while all processes were killed and restarted. The record names its log, but a process that started since cannot tell whether the server has ended or only lapsed, so that the choice waited for it without a limit.

The unit test fails before (the function has no limit).

Why it works: such a server is waited for 8 s, longer than one that restarts is away. Then the most advanced server leads, with the warning that commits may be lost.

--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -59,8 +59,12 @@
 """Seeds that failed with departures and no other faults, with the cause."""
 
 
-async def test_promises_hold_while_servers_leave_and_replicas_starve(tmp_path):
-    broken = await run_seed(13, FAULT_S, tmp_path, Options(departures=True))
+# 9143: a group waited for ever for servers that had ended before all processes started.
+@pytest.mark.parametrize(("seed", "fault_s"), [(13, FAULT_S), (9143, 10.0)])
+async def test_promises_hold_while_servers_leave_and_replicas_starve(
+    seed, fault_s, tmp_path
+):
+    broken = await run_seed(seed, fault_s, tmp_path, Options(departures=True))
     assert broken == [], f"logs in {tmp_path}"
 
 
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -10,6 +10,10 @@
     is_final_position_reliable,
 )
 
+UNKNOWN_SERVER_WAIT_S = 8.0
+"""Seconds for which a choice waits for a server that may have ended for good: a process
+that started since cannot tell."""
+
 
 def find_missing_logs(board: Blackboard, attempt: Attempt) -> tuple[str, ...]:
     """Return logs that cannot be asked and may have acknowledged commits.
@@ -59,13 +63,16 @@
     return log.server_id in lapsed
 
 
-def can_waiting_help(board: Blackboard, attempt: Attempt, group: DatabaseGroup) -> bool:
+def can_waiting_help(
+    board: Blackboard, attempt: Attempt, group: DatabaseGroup, waited_s: float
+) -> bool:
     """Return whether a missing log, or the proof that it is not needed, may still come.
 
     Args:
         board: The node's state.
         attempt: The attempt, with the answers of the current round.
         group: The group.
+        waited_s: Seconds since the choice began.
 
     Returns:
         False if all servers that may have a log have answered, the log of the old
@@ -84,7 +91,8 @@
             return True
     departed = set(board.departed_logs_by_group.get(attempt.group_id, ()))
     reported = attempt.reported_departed_logs - attempt.reported_covered_logs
-    if departed & board.recorded_logs or reported - departed:
+    is_unknown = departed & board.recorded_logs or reported - departed
+    if is_unknown and waited_s < UNKNOWN_SERVER_WAIT_S:
         # It is not known here whether their servers have ended or only lapsed.
         return True
     old_status = attempt.old_primary_status
@@ -92,4 +100,8 @@
         old_status = attempt.statuses_by_server.get(old_primary)
     if old_status is not None:
         return is_final_position_reliable(attempt, old_status)
-    return all(log.server_id != old_primary for log in departed)
+    if old_primary in group.server_ids:
+        return True
+    if any(log.server_id == old_primary for log in departed):
+        return False
+    return waited_s < UNKNOWN_SERVER_WAIT_S
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -330,7 +330,7 @@
                 attempt, group, chosen, missing_logs
             )
         if not is_complete:
-            if can_waiting_help(self.board, attempt, group):
+            if can_waiting_help(self.board, attempt, group, waited_s):
                 reason = "may lack acknowledged commits"
                 self._log_choice(attempt, chosen, reason, missing_logs)
                 return
--- a/pollencleat/routing/departed_log_records_test.py
+++ b/pollencleat/routing/departed_log_records_test.py
@@ -4,7 +4,10 @@
 
 from pollencleat.core.data import GroupTerm, Promotion, ServerLog, VmList
 from pollencleat.core.effects import UpdateFleet
-from pollencleat.promotion.missing_logs import can_waiting_help
+from pollencleat.promotion.missing_logs import (
+    UNKNOWN_SERVER_WAIT_S,
+    can_waiting_help,
+)
 from pollencleat.routing.departed_log_records import (
     RECORD_AFTER_S,
     DepartedLogRecorder,
@@ -127,8 +130,8 @@
     assert group.run(10.0) == 0
 
 
-def test_choice_waits_for_servers_that_only_the_record_names():
-    """The record does not tell a lapsed server from one that has ended."""
+def test_choice_waits_a_limited_time_for_servers_that_only_the_record_names():
+    """The record does not tell a lapsed server from one that ended (seed 9143)."""
     group = RecordedGroup()
     group.commit("s")
     for server_id in "ps":
@@ -141,7 +144,9 @@
     attempt.statuses_by_server = {"r": attempt.statuses_by_server["r"]}
     attempt.unconfirmed_incarnations = set()
     declared = started.board.inventory.groups_by_id["g"]
-    assert can_waiting_help(started.board, attempt, declared)
+    assert can_waiting_help(started.board, attempt, declared, 0.0)
+    waited_s = UNKNOWN_SERVER_WAIT_S
+    assert not can_waiting_help(started.board, attempt, declared, waited_s)
 
 
 def test_log_of_a_leaving_server_is_known_if_no_process_sees_it_go():
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -319,15 +319,15 @@
     group.leave("s")
     declared = group.board.inventory.groups_by_id["g"]
     attempt = group.make_attempt()
-    assert can_waiting_help(group.board, attempt, declared)
+    assert can_waiting_help(group.board, attempt, declared, 0.0)
     attempt.unconfirmed_incarnations = set()
-    assert can_waiting_help(group.board, attempt, declared)
+    assert can_waiting_help(group.board, attempt, declared, 0.0)
     group.leave("p")
     declared = group.board.inventory.groups_by_id["g"]
     attempt.statuses_by_server.pop("p")
-    assert not can_waiting_help(group.board, attempt, declared)
+    assert not can_waiting_help(group.board, attempt, declared, 0.0)
     attempt.statuses_by_server["r"] = None
-    assert can_waiting_help(group.board, attempt, declared)
+    assert can_waiting_help(group.board, attempt, declared, 0.0)
 
 
 def find_lost_commit(choose, acknowledging, count, make_controller):
