--- a/review/common/world.py
+++ b/review/common/world.py
@@ -487,6 +487,7 @@
         ]
         self.servers[0].is_primary = True
         self.on_promoted: list[Callable[[Server], None]] = []
+        self.on_run: list[Callable[[Server, ServerSession, str], None]] = []
         self._newest_term = FIRST_TERM
         self._tasks: list[asyncio.Task] = []
 
@@ -524,6 +525,8 @@
             values,
         )
         self.runs.append(run)
+        for follow in self.on_run:
+            follow(server, session, request_id)
         self.record.note(
             f"run {request_id} at {server.server_id} #{session.number}: {text} "
             f"values {dict(values)}"
