--- a/review/common/world.py
+++ b/review/common/world.py
@@ -1189,16 +1189,18 @@
         await asyncio.sleep(0.1)
         return broken
 
+    code = 2
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(code))
     try:
         broken = asyncio.run(play_in_time())
+        for line in broken:
+            world.record.note(f"BROKEN {line}")
+        print("\n".join(broken[:3]))
+        print(f"{len(broken)} violations, trouble {is_troubled}, seed {seed}")
+        code = 1 if broken else 0
     except Exception as error:
         world.record.note(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
+    finally:
         world.stop()
-        sys.exit(2)
-    for line in broken[:20]:
-        world.record.note(f"BROKEN {line}")
-    print("\n".join(broken[:3]))
-    print(f"{len(broken)} violations, trouble {is_troubled}, seed {seed}")
-    world.stop()
-    sys.exit(1 if broken else 0)
+    sys.exit(code)
