--- a/review/common/world.py
+++ b/review/common/world.py
@@ -335,6 +335,8 @@
 
     def _control(self, session: ServerSession, words: list[str]) -> bytes:
         verb = words[0]
+        if verb == "PAUSE":
+            self.group.paused_at_s.append(time.monotonic())
         if verb == "PAUSE" and int(words[1]) > self.term and not self.is_primary:
             self.held_for_term = int(words[1])
         if verb == "RESUME":
@@ -481,6 +483,7 @@
         self._random = generator
         self._work_s = work_ms / 1000
         self._connections = 0
+        self.paused_at_s: list[float] = []
         self.runs: list[Run] = []
         self.servers = [
             Server(self, f"i-{generator.getrandbits(40):010x}", zone) for zone in ZONES
