--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -71,7 +71,11 @@
         """Read lines up to READY; the error is CLOSED at the connection's end."""
         rows, receipt, error, detail = [], "", "", ""
         while True:
-            line = (await self.reader.readline()).decode().rstrip("\r\n")
+            try:
+                data = await self.reader.readuntil(b"\r\n")
+            except asyncio.IncompleteReadError:
+                data = b""
+            line = data.removesuffix(b"\r\n").decode()
             keyword, _, rest = line.partition(" ")
             if keyword == "DATAROW":
                 rows.append(rest)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -123,8 +123,7 @@
     """
     rows_by_receipt: dict[str, set[str]] = {}
     for statement in statements:
-        receipt = f"{statement.server_id}.{statement.request_id}"
-        rows_by_receipt.setdefault(receipt, set()).add(statement.row)
+        rows_by_receipt.setdefault(statement.receipt, set()).add(statement.row)
     for attempt in attempts:
         for request_id, (receipt, rows) in attempt.answers.items():
             if not receipt.endswith(f".{request_id}"):
--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -44,7 +44,16 @@
 
 
 def make_read_statement(applied=1, text="READ k", values=(), row="one"):
-    return ExecutedStatement("s", READ, text, values, row, LOG, applied)
+    return ExecutedStatement(
+        "s",
+        READ,
+        text,
+        values,
+        receipt=f"s.{READ}",
+        row=row,
+        log=LOG,
+        applied_count=applied,
+    )
 
 
 def find_violations(attempts, statements, log=LOG):
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import itertools
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 MAX_LINE_BYTES = 1024 * 1024
+LINE_END = b"\r\n"
 POLL_INTERVAL_S = 0.002
 ACKNOWLEDGE_TIMEOUT_S = 2.0
 """Longest time that a commit waits for replicas before it fails."""
@@ -40,12 +42,19 @@
         silent: Whether statements wait unprocessed until the fault ends.
         reject_proxy_statements: Number of statements of the proxy itself (request id
             ``-``) to reject with BUSY.
+        repeat_probability: Probability that an answer of any kind is sent twice.
+        repeat_delay_s: Range of the seconds until the second answer is sent.
+        busy_probability: Probability that a statement is rejected with BUSY, also one
+            that needs no slot.
     """
 
     lose_responses: int = 0
     busy: bool = False
     silent: bool = False
     reject_proxy_statements: int = 0
+    repeat_probability: float = 0.0
+    repeat_delay_s: tuple[float, float] = (0.0, 0.3)
+    busy_probability: float = 0.0
 
 
 @dataclass
@@ -63,6 +72,9 @@
     """A statement that a server ran, with the session values at that time.
 
     Attributes:
+        shape: Access and definition of the prepared statement that ran, or empty.
+        in_transaction: Whether a transaction was open on the connection.
+        receipt: Proof of this run, which no other run has.
         row: Row that a read returned.
         log: The server's append-only log.
         applied_count: Number of leading log entries that the statement saw.
@@ -72,6 +84,9 @@
     request_id: str
     text: str
     values: tuple[tuple[str, str], ...]
+    shape: str = ""
+    in_transaction: bool = False
+    receipt: str = ""
     row: str = ""
     log: tuple[LogEntry, ...] | list[LogEntry] = ()
     applied_count: int = 0
@@ -219,7 +234,7 @@
         self.connections += 1
         session = _Session()
         try:
-            startup = (await reader.readuntil(b"\n")).decode().split()
+            startup = (await _read_line(reader)).split()
             if not self._accepts_startup(startup):
                 writer.write(b"ERROR MISROUTED another server\r\n")
                 return
@@ -227,18 +242,23 @@
                 writer.write(b"ERROR TOOMANY\r\n")
                 return
             self.peak_connections = max(self.peak_connections, self.connections)
-            writer.write(f"READY I {self.position()}\r\n".encode())
+            self._send(writer, f"READY I {self.position()}\r\n")
             while True:
-                line = (await reader.readuntil(b"\n")).decode().rstrip("\r\n")
+                line = await _read_line(reader)
                 if line == "TERMINATE":
                     return
-                _, request_id, text = line.split(" ", 2)
+                word, _, rest = line.partition(" ")
+                request_id, _, text = rest.partition(" ")
+                if word != "QUERY" or not text:
+                    self.group.malformed_lines.append(line)
+                    self._send(writer, self._error_response(session, "MALFORMED"))
+                    continue
                 self.group.received_request_ids.add(request_id)
                 response = await self._respond(session, request_id, text)
                 if response is None:
                     writer.transport.abort()
                     return
-                writer.write(response.encode())
+                self._send(writer, response)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -247,6 +267,22 @@
             self._writers.discard(writer)
             writer.close()
 
+    def _send(self, writer: asyncio.StreamWriter, response: str) -> None:
+        """Send an answer, and at times a second time, later."""
+        data = response.encode()
+        writer.write(data)
+        faults, generator = self.faults, self.group.random
+        if generator.random() >= faults.repeat_probability:
+            return
+
+        def repeat() -> None:
+            if not writer.is_closing():
+                self.group.second_answers += 1
+                writer.write(data)
+
+        delay_s = generator.uniform(*faults.repeat_delay_s)
+        asyncio.get_running_loop().call_later(delay_s, repeat)
+
     def _accepts_startup(self, startup: list[str]) -> bool:
         if len(startup) < 3 or startup[0] != "STARTUP" or startup[1] != self.group.name:
             return False
@@ -260,6 +296,8 @@
         if request_id == "-" and self.faults.reject_proxy_statements:
             self.faults.reject_proxy_statements -= 1
             return self._error_response(session, "BUSY")
+        if self.group.random.random() < self.faults.busy_probability:
+            return self._error_response(session, "BUSY")
         words = text.split(" ")
         if words[0] == "WAITFOR":
             if not self.has_applied(words[1]):
@@ -307,11 +345,13 @@
         self, session: _Session, request_id: str, words: list[str], text: str
     ) -> str:
         access, item, data = words[0], words[1], " ".join(words[2:])
+        shape = ""
         if access == "EXECUTE":
             prepared = session.prepared_statements.get(words[1])
             if prepared is None:
                 return self._error_response(session, "UNKNOWN")
             access, item, data = prepared[0], words[2], " ".join(words[3:])
+            shape = " ".join(prepared)
         if access == "WRITE" and not self.is_primary:
             return self._error_response(session, "READONLY")
         if session.in_transaction and not session.read_only and not self.is_primary:
@@ -319,18 +359,21 @@
         await asyncio.sleep(self.group.statement_duration_s)
         row = self._read_item(session, item) if access == "READ" else ""
         values = tuple(sorted(session.values.items()))
+        receipt = self._next_receipt(request_id)
         self.group.executed_statements.append(
             ExecutedStatement(
                 self.server_id,
                 request_id,
                 text,
                 values,
+                shape,
+                session.in_transaction,
+                receipt,
                 row,
                 self.log,
                 self.applied_count,
             )
         )
-        receipt = f"{self.server_id}.{request_id}"
         if access == "READ":
             return f"DATAROW {row}\r\nCOMPLETE {receipt}\r\n" + self._ready_line(
                 session
@@ -340,6 +383,9 @@
             return self._error_response(session, "FAILED")
         return f"COMPLETE {receipt}\r\n{self._ready_line(session)}"
 
+    def _next_receipt(self, request_id: str) -> str:
+        return f"{self.server_id}.{next(self.group.run_numbers):x}.{request_id}"
+
     def _read_item(self, session: _Session, item: str) -> str:
         for written_item, data, _ in reversed(session.writes):
             if written_item == item:
@@ -358,7 +404,7 @@
         session.in_transaction = False
         if not is_replicated:
             return self._error_response(session, "FAILED")
-        receipt = f"{self.server_id}.{request_id}"
+        receipt = self._next_receipt(request_id)
         return f"COMPLETE {receipt}\r\n{self._ready_line(session)}"
 
     async def _append_to_log(self, session: _Session) -> bool:
@@ -401,6 +447,11 @@
         return f"READY {state} {self.position()}\r\n"
 
 
+async def _read_line(reader: asyncio.StreamReader) -> str:
+    """Return the next line without its end; a lone CR or LF is part of its text."""
+    return (await reader.readuntil(LINE_END)).removesuffix(LINE_END).decode()
+
+
 def _last_position(log: list[LogEntry], first_term: int) -> str:
     if not log:
         return f"{first_term}.0"
@@ -424,6 +475,9 @@
         first_term: Term of the servers at the start.
         executed_statements: Statements that the servers ran, in order.
         received_request_ids: Ids of the requests that reached a server.
+        malformed_lines: Lines that are no statement, which the proxy must never send.
+        second_answers: Number of answers that were sent a second time.
+        random: Draws the faults that happen with a probability.
         record_event: Called with a line for each promotion, with the log positions of
             all servers.
         unreachable_replica_ids: Ids of replicas that receive no entries from the
@@ -452,6 +506,10 @@
         self.first_term = first_term
         self.executed_statements: list[ExecutedStatement] = []
         self.received_request_ids: set[str] = set()
+        self.malformed_lines: list[str] = []
+        self.second_answers = 0
+        self.run_numbers = itertools.count(1)
+        self.random = random.Random(1)
         self.record_event: Callable[[str], None] = _discard
         self.servers = [
             LineServer(self, f"{name}-{number}", zone)
