--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import structlog
+
 from pollencleat.core.data import BackendServer, Position, ServerStatus
 from pollencleat.core.errors import (
     BackendDeclinedError,
@@ -39,7 +41,10 @@
 USER = "pollencleat"
 """User name sent to servers, which accept any."""
 
+log = structlog.get_logger()
+
 MIN_STATUS_FIELDS = 7
+NO_RECEIPT = "-"
 PRIMARY_ROLE = "primary"
 
 
@@ -54,6 +59,7 @@
         self._writer = writer
         self._is_reply_pending = False
         self._is_closed = False
+        self._server_id = ""
         self.has_open_transaction = False
         self.values: dict[str, str] = {}
         self.names_by_shape: dict[Shape, str] = {}
@@ -83,6 +89,7 @@
         Raises:
             BackendError: The server refused, or the connection broke.
         """
+        self._server_id = server_id
         reply = await self._send_request(
             encode_line("STARTUP", service, USER, server_id)
         )
@@ -103,7 +110,14 @@
         text = work.text
         if prepared_name:
             text = f"EXECUTE {prepared_name} {work.text}"
-        return await self._query(work.request_id, _format_wait(at_least) + text)
+        reply = await self._query(work.request_id, _format_wait(at_least) + text)
+        if reply.failure is None and reply.receipt in ("", NO_RECEIPT):
+            log.info(
+                "success without a receipt",
+                server=self._server_id,
+                request=work.request_id,
+            )
+        return reply
 
     async def commit(self, commit: Commit) -> ServerReply:
         """Commit the transaction."""
@@ -154,6 +168,10 @@
         if not self.is_usable:
             raise BackendLostError("the connection is closed or has a pending reply")
         self._is_reply_pending = True
+        # StreamReader has no public count of what it has buffered.
+        unread = len(self._reader._buffer)
+        if unread:
+            log.info("reply to no request", server=self._server_id, bytes=unread)
         try:
             write_bytes(self._writer, line)
             await self._writer.drain()
