Server connections: assign each reply to its request

What callers saw: MIXED, another statement's receipt and rows, or a success with no receipt at all, on every later answer of a connection once a server had answered twice; by the same way a refusal could be taken for the outcome of a write that was committed (REFUSED), and the refusal of a SET or BEGIN could hide behind the second answer to an earlier one (PINNED).

Cause: a reply names no request, and the connection took whatever came first after a request was sent for its answer.

Why it works: a reply is believed only if it cannot be the repetition of one received before on the connection. A receipt belongs to one run. Replies without a receipt that equal an earlier one are settled by probes, requests that change nothing: once more equal replies have come than repetitions can account for, all before must have been answered. A failure of a write or commit is settled before it is reported, since it promises that nothing is kept. A status row that equals an earlier one is asked for again on a new connection. Metric reply_repeated counts, and a log line names, each second answer.

--- a/bench/answers_test.py
+++ b/bench/answers_test.py
@@ -50,7 +50,6 @@
     assert cluster.group.malformed_lines == []
 
 
-@pytest.mark.xfail(reason="KNOWN-RED 25", strict=True)
 async def test_server_that_answers_twice_changes_no_callers_answer(cluster):
     """One second answer shifted all later answers of its connection."""
     for server in cluster.group.servers:
--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -35,6 +35,7 @@
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.listener import SessionListener
+from pollencleat.engine.replies import ReceivedReply
 from pollencleat.hops.borrower import HopBorrower
 from pollencleat.hops.lender import HopLender
 from pollencleat.limits.shares import reserved_connections
@@ -124,6 +125,7 @@
             settings.promotion,
             self._is_current_promoter,
             lambda server_id: reserved_connections(self.board, server_id) > 0,
+            self._note_repetition,
         )
         self.access = ServerAccess(
             self.board, self.metrics, read_boottime_s, self._make_pool, self.faults
@@ -175,11 +177,20 @@
 
     def _make_pool(self, server: BackendServer) -> ServerPool:
         def open_to_server() -> Awaitable[ServerConnection]:
-            opening = open_server_connection(server)
+            opening = open_server_connection(server, self._note_repetition)
             return self.access.open_tracked(server.server_id, opening)
 
         return ServerPool(server, open_to_server, read_boottime_s)
 
+    def _note_repetition(self, server_id: str, received: ReceivedReply) -> None:
+        self.metrics.count("reply_repeated", server_id)
+        log.info(
+            "reply repeated",
+            server=server_id,
+            kind=received.kind,
+            receipt=received.reply.receipt,
+        )
+
     def _is_current_promoter(self, group_id: str, fence: int) -> bool:
         return is_current_promoter(self.board, group_id, fence, read_boottime_s())
 
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -13,6 +13,7 @@
     TransactionLostError,
     UnknownOutcomeError,
 )
+from pollencleat.engine.exchange import NotSentError
 from pollencleat.engine.session import OpenTransaction
 from pollencleat.engine.statements import (
     NOT_RUN_FAILURES,
@@ -106,6 +107,8 @@
             reply = await self._steps.await_reply(
                 lease, lease.connection.commit(statement), limit_s, transaction.route
             )
+        except NotSentError as error:
+            raise TransactionLostError(f"commit not sent: {error}") from error
         except (BackendLostError, TimeoutError) as error:
             if transaction.has_written:
                 raise UnknownOutcomeError(
--- a/pollencleat/engine/writes.py
+++ b/pollencleat/engine/writes.py
@@ -9,6 +9,7 @@
     WritesUnavailableError,
 )
 from pollencleat.engine.access import RETRY_AFTER_MS
+from pollencleat.engine.exchange import NotSentError
 from pollencleat.engine.statements import (
     NOT_RUN_FAILURES,
     Answer,
@@ -81,6 +82,9 @@
                 route,
             )
             reusable = not reply.in_transaction
+        except NotSentError as error:
+            self._steps.trace.may_persist = False
+            raise unreachable_error(target, error) from error
         except (BackendError, TimeoutError) as error:
             raise UnknownOutcomeError(
                 f"{target.server_id}: {describe_error(error)}"
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -11,7 +11,12 @@
 from pollencleat.core.data import BackendServer, Position, ServerStatus, TermStart
 from pollencleat.core.errors import BackendError
 from pollencleat.core.timers import read_boottime_s
-from pollencleat.platform.servers import ServerConnection, open_server_connection
+from pollencleat.engine.exchange import AmbiguousReplyError
+from pollencleat.platform.servers import (
+    NoteRepetition,
+    ServerConnection,
+    open_server_connection,
+)
 from pollencleat.platform.settings import Endpoint
 from pollencleat.web.client import HttpClient, HttpError
 
@@ -46,6 +51,7 @@
         promotion: Endpoint,
         is_current_promoter: Callable[[str, int], bool],
         may_keep_open: Callable[[str], bool],
+        note_repetition: NoteRepetition,
     ) -> None:
         """Use the platform's promotion service at an address.
 
@@ -56,7 +62,10 @@
                 each promotion call; False prevents the call.
             may_keep_open: Called with a server id; whether a connection to the
                 server is reserved for this node and so may stay open while idle.
+            note_repetition: Called with the server's id and each reply that answers no
+                open command.
         """
+        self._note_repetition = note_repetition
         self._may_keep_open = may_keep_open
         self._board = board
         self._is_current_promoter = is_current_promoter
@@ -152,7 +161,12 @@
             async with lock:
                 connection = await self._connect(server_id)
                 self._last_used_s_by_server[server_id] = read_boottime_s()
-                status = await connection.run_command(text)
+                try:
+                    status = await connection.run_command(text)
+                except AmbiguousReplyError:
+                    # Only a new connection has no earlier reply that may be repeated.
+                    connection = await self._connect(server_id)
+                    status = await connection.run_command(text)
                 opened_at_s = self._opened_at_s_by_server[server_id]
                 return dataclasses.replace(status, connected_at_s=opened_at_s)
 
@@ -168,7 +182,7 @@
             ):
                 return connection
             connection.close()
-        connection = await open_server_connection(server)
+        connection = await open_server_connection(server, self._note_repetition)
         self._opened_at_s_by_server[server_id] = read_boottime_s()
         self._connections_by_server[server_id] = connection
         self._connected_servers_by_id[server_id] = server
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -1,8 +1,9 @@
 """Connections to backend servers in the platform's line protocol."""
 
 import asyncio
-
-import structlog
+import itertools
+import time
+from collections.abc import Callable
 
 from pollencleat.core.data import BackendServer, Position, ServerStatus
 from pollencleat.core.errors import (
@@ -11,13 +12,10 @@
     BackendFullError,
     BackendLostError,
     BackendRefusedError,
-    MalformedStatementError,
-)
-from pollencleat.core.sockets import (
-    CONNECT_ERRORS,
-    configure_socket,
-    write_bytes,
 )
+from pollencleat.core.sockets import CONNECT_ERRORS, configure_socket
+from pollencleat.engine.exchange import Exchange
+from pollencleat.engine.replies import Expectation, ReceivedReply, ReplyKind
 from pollencleat.engine.statements import (
     Begin,
     Commit,
@@ -26,41 +24,52 @@
     Shape,
     Work,
 )
+from pollencleat.platform.reply_parser import ReplyParser
 from pollencleat.platform.wire import (
-    MAX_LINE_BYTES,
     PROXY_REQUEST_ID,
     encode_line,
-    failure_of_code,
     format_position,
     is_decimal_number,
     parse_position,
-    parse_ready,
-    read_line,
 )
 
 USER = "pollencleat"
 """User name sent to servers, which accept any."""
 
-log = structlog.get_logger()
-
 MIN_STATUS_FIELDS = 7
-NO_RECEIPT = "-"
 PRIMARY_ROLE = "primary"
 
 
-class ServerConnection:
+NoteRepetition = Callable[[str, ReceivedReply], None]
+"""Called with a server's id and each reply that answers no open request."""
+
+
+def ignore_repetition(server_id: str, received: ReceivedReply) -> None:
+    """Note nothing."""
+
+
+class ServerConnection(asyncio.Protocol):
     """One connection to a server; carries one request at a time."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, server_id: str = "", note_repetition: NoteRepetition = ignore_repetition
     ) -> None:
-        """Use an open connection."""
-        self._reader = reader
-        self._writer = writer
-        self._is_reply_pending = False
+        """Create the protocol of a connection that is to be opened.
+
+        Args:
+            server_id: Id of the server.
+            note_repetition: Called with each reply that answers no open request.
+        """
+        self._transport: asyncio.Transport | None = None
+        self._parser = ReplyParser()
+        self._exchange = Exchange(
+            self._send,
+            self._make_probe,
+            time.monotonic,
+            lambda received: note_repetition(server_id, received),
+        )
+        self._probe_numbers = itertools.count(1)
         self._is_closed = False
-        self._server_id = ""
-        self.has_open_transaction = False
         self.values: dict[str, str] = {}
         self.names_by_shape: dict[Shape, str] = {}
 
@@ -69,15 +78,63 @@
         """Whether the connection is open and no reply is pending."""
         return (
             not self._is_closed
-            and not self._is_reply_pending
-            and not self._reader.at_eof()
-            and not self._writer.transport.is_closing()
+            and not self._transport.is_closing()
+            and self._exchange.is_usable
         )
 
+    @property
+    def has_open_transaction(self) -> bool:
+        """Whether the server has a transaction open on the connection."""
+        return self._exchange.has_open_transaction
+
     def close(self) -> None:
         """Close; the server rolls back an open transaction."""
         self._is_closed = True
-        self._writer.close()
+        self._exchange.fail(BackendLostError("the connection is closed"))
+        if self._transport is not None:
+            self._transport.close()
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Use the open connection."""
+        self._transport = transport
+        configure_socket(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Assign the replies that are complete now."""
+        try:
+            for received in self._parser.feed(data):
+                self._exchange.on_reply(received)
+        except BackendError as error:
+            self._exchange.fail(error)
+            self.close()
+
+    def eof_received(self) -> None:
+        """Take the last reply; the transport then closes the connection."""
+        received = self._parser.finish()
+        if received is not None:
+            self._exchange.on_reply(received)
+        self._exchange.fail(BackendLostError("the server closed the connection"))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note that nothing more arrives."""
+        reason = str(error or "") or "the connection is closed"
+        self._exchange.fail(BackendLostError(reason))
+
+    def _send(self, data: bytes) -> None:
+        if self._transport.is_closing():
+            raise BackendLostError("the connection is closed")
+        self._transport.write(data)
+
+    def _make_probe(self) -> tuple[bytes, ...]:
+        name = f"probe{next(self._probe_numbers)}"
+        return (
+            encode_line("QUERY", PROXY_REQUEST_ID, f"PREPARE {name} READ -"),
+            encode_line("QUERY", PROXY_REQUEST_ID, f"DEALLOCATE {name}"),
+        )
+
+    # Requests.
 
     async def start(self, service: str, server_id: str) -> None:
         """Start the session; the server refuses if the id is not its own.
@@ -89,9 +146,9 @@
         Raises:
             BackendError: The server refused, or the connection broke.
         """
-        self._server_id = server_id
-        reply = await self._send_request(
-            encode_line("STARTUP", service, USER, server_id)
+        reply = await self._request(
+            encode_line("STARTUP", service, USER, server_id),
+            Expectation(ReplyKind.STARTED, False),
         )
         if reply.failure is ServerFailure.TOO_MANY:
             raise BackendFullError(reply.detail)
@@ -101,46 +158,49 @@
     async def begin(self, begin: Begin, at_least: Position | None) -> ServerReply:
         """Begin a transaction once the server has applied a log position, if given."""
         verb = "BEGIN READ" if begin.read_only else "BEGIN"
-        return await self._query(begin.request_id, _format_wait(at_least) + verb)
+        await self._exchange.settle()
+        reply = await self._acknowledge(
+            _format_wait(at_least) + verb, begin.request_id, True
+        )
+        if reply.failure is None:
+            await self._exchange.settle()
+        return reply
 
     async def run(
         self, work: Work, prepared_name: str, at_least: Position | None
     ) -> ServerReply:
-        """Run a read or write once the server has applied a log position, if given."""
+        """Run a read or write once the server has applied a log position, if given.
+
+        Raises:
+            NotSentError: The state of the connection could not be settled before.
+        """
         text = work.text
         if prepared_name:
             text = f"EXECUTE {prepared_name} {work.text}"
-        reply = await self._query(work.request_id, _format_wait(at_least) + text)
-        if reply.failure is None and reply.receipt in ("", NO_RECEIPT):
-            log.info(
-                "success without a receipt",
-                server=self._server_id,
-                request=work.request_id,
-            )
-        return reply
+        return await self._execute(
+            work.request_id, _format_wait(at_least) + text, self.has_open_transaction
+        )
 
     async def commit(self, commit: Commit) -> ServerReply:
         """Commit the transaction."""
-        return await self._query(commit.request_id, "COMMIT")
+        return await self._execute(commit.request_id, "COMMIT", False)
 
     async def roll_back(self) -> ServerReply:
         """Roll back the transaction."""
-        return await self._query(PROXY_REQUEST_ID, "ROLLBACK")
+        return await self._acknowledge("ROLLBACK", in_transaction=False)
 
     async def set_value(self, name: str, value: str) -> ServerReply:
         """Set a session variable."""
-        return await self._query(PROXY_REQUEST_ID, f"SET {name} {value}")
+        return await self._acknowledge(f"SET {name} {value}")
 
     async def prepare(self, name: str, shape: Shape) -> ServerReply:
         """Prepare a statement under a name that is local to this connection."""
         access = shape.access.name
-        return await self._query(
-            PROXY_REQUEST_ID, f"PREPARE {name} {access} {shape.text}"
-        )
+        return await self._acknowledge(f"PREPARE {name} {access} {shape.text}")
 
     async def reset(self) -> ServerReply:
         """Clear session variables and prepared statements."""
-        return await self._query(PROXY_REQUEST_ID, "DISCARD")
+        return await self._acknowledge("DISCARD")
 
     async def run_command(self, text: str) -> ServerStatus:
         """Send a control command, which the server answers with its status.
@@ -152,76 +212,48 @@
             The status.
 
         Raises:
+            AmbiguousReplyError: The answer may be that to an earlier command.
             BackendError: The server refused, or the answer is malformed.
         """
-        reply = await self._query(PROXY_REQUEST_ID, text)
+        reply = await self._query(PROXY_REQUEST_ID, text, Expectation(ReplyKind.STATUS))
         if reply.failure is not None:
             raise _make_refusal_error(reply)
-        if not reply.rows:
-            raise BackendLostError(f"{text}: reply without a status row")
         return parse_status(reply.rows[0])
 
-    async def _query(self, request_id: str, text: str) -> ServerReply:
-        return await self._send_request(encode_line("QUERY", request_id, text))
-
-    async def _send_request(self, line: bytes) -> ServerReply:
-        if not self.is_usable:
-            raise BackendLostError("the connection is closed or has a pending reply")
-        self._is_reply_pending = True
-        # StreamReader has no public count of what it has buffered.
-        unread = len(self._reader._buffer)
-        if unread:
-            log.info("reply to no request", server=self._server_id, bytes=unread)
+    async def _acknowledge(
+        self,
+        text: str,
+        request_id: str = PROXY_REQUEST_ID,
+        in_transaction: bool | None = None,
+    ) -> ServerReply:
+        if in_transaction is None:
+            in_transaction = self.has_open_transaction
+        expected = Expectation(ReplyKind.ACKNOWLEDGED, in_transaction)
+        return await self._query(request_id, text, expected)
+
+    async def _execute(
+        self, request_id: str, text: str, in_transaction: bool
+    ) -> ServerReply:
+        await self._exchange.settle()
+        expected = Expectation(ReplyKind.RECEIPT, in_transaction)
+        return await self._query(request_id, text, expected)
+
+    async def _query(
+        self, request_id: str, text: str, expected: Expectation
+    ) -> ServerReply:
+        return await self._request(encode_line("QUERY", request_id, text), expected)
+
+    async def _request(self, data: bytes, expected: Expectation) -> ServerReply:
+        if self._is_closed:
+            raise BackendLostError("the connection is closed")
         try:
-            write_bytes(self._writer, line)
-            await self._writer.drain()
-            reply = await self._read_reply()
-        except (OSError, MalformedStatementError) as error:
-            self.close()
-            raise BackendLostError(str(error) or type(error).__name__) from error
+            return await self._exchange.request(
+                data, expected, self._parser.is_inside_reply
+            )
         except BaseException:
             # The reply may still arrive; the next request must not read it.
             self.close()
             raise
-        self._is_reply_pending = False
-        return reply
-
-    async def _read_reply(self) -> ServerReply:
-        rows = []
-        receipt = ""
-        failure: ServerFailure | None = None
-        detail = ""
-        while True:
-            line = await read_line(self._reader)
-            if line is None:
-                if failure is not None:
-                    # After a refused STARTUP the server closes without a READY line.
-                    return ServerReply(failure=failure, detail=detail)
-                raise BackendLostError("the server closed the connection")
-            word, _, rest = line.partition(" ")
-            if word == "DATAROW":
-                rows.append(rest)
-            elif word == "COMPLETE":
-                receipt = rest
-            elif word == "ERROR":
-                code, _, detail = rest.partition(" ")
-                failure = failure_of_code(code)
-                detail = f"{code} {detail}".strip()
-            elif word == "READY":
-                ready = parse_ready(rest)
-                self.has_open_transaction = ready.in_transaction
-                return ServerReply(
-                    tuple(rows),
-                    receipt,
-                    failure,
-                    detail,
-                    ready.position,
-                    ready.in_transaction,
-                )
-            else:
-                raise BackendLostError(
-                    f"unexpected line from the server: {line[:40]!r}"
-                )
 
 
 def _make_refusal_error(reply: ServerReply) -> BackendError:
@@ -271,11 +303,15 @@
     )
 
 
-async def open_server_connection(server: BackendServer) -> ServerConnection:
+async def open_server_connection(
+    server: BackendServer,
+    note_repetition: NoteRepetition = ignore_repetition,
+) -> ServerConnection:
     """Connect to a server and verify its id.
 
     Args:
         server: The server.
+        note_repetition: Called with each reply that answers no open request.
 
     Returns:
         An open connection.
@@ -284,16 +320,17 @@
         BackendRefusedError: Nothing listens at the address.
         BackendError: Any other failure.
     """
+    loop = asyncio.get_running_loop()
     try:
-        reader, writer = await asyncio.open_connection(
-            server.host, server.port, limit=MAX_LINE_BYTES
+        _, connection = await loop.create_connection(
+            lambda: ServerConnection(server.server_id, note_repetition),
+            server.host,
+            server.port,
         )
     except ConnectionRefusedError as error:
         raise BackendRefusedError(str(error)) from error
     except CONNECT_ERRORS as error:
         raise BackendError(str(error)) from error
-    configure_socket(writer)
-    connection = ServerConnection(reader, writer)
     try:
         await connection.start(server.group_id, server.server_id)
     except BaseException:
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -321,6 +321,9 @@
             session.values[words[1]] = " ".join(words[2:])
         elif verb == "PREPARE":
             session.prepared_statements[words[1]] = (words[2], " ".join(words[3:]))
+        elif verb == "DEALLOCATE":
+            if session.prepared_statements.pop(words[1], None) is None:
+                return self._error_response(session, "UNKNOWN")
         elif verb == "DISCARD":
             session.values.clear()
             session.prepared_statements.clear()
