--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -1,8 +1,8 @@
 """Requests and replies on one server connection, one request at a time.
 
 A reply is taken for the answer to the open request only if it cannot be the repetition
-of an earlier one.  Where equal replies leave this open, probes settle it: requests that
-change nothing, so many that the repetitions alone cannot account for all the replies.
+of an earlier one.  Where equal replies leave this open, barriers settle it: requests
+that change nothing, so many that repetitions alone cannot account for all the replies.
 """
 
 import asyncio
@@ -25,10 +25,10 @@
 
 MAX_EQUAL_REPLIES = 8
 """Equal replies received lately after which a connection is not used any more; the next
-request would need as many probes."""
+request would need as many barriers."""
 
-MAX_PROBES = 32
-"""Probes that may be sent at a time; a connection that needs more is given up."""
+MAX_BARRIERS = 32
+"""Barriers that may be sent at a time; a connection that needs more is given up."""
 
 
 class NotSentError(BackendError):
@@ -49,7 +49,7 @@
     def __init__(
         self,
         send: Callable[[bytes], None],
-        make_probe: Callable[[], tuple[bytes, ...]],
+        make_barriers: Callable[[], tuple[bytes, ...]],
         clock: Callable[[], float],
         note_repetition: Callable[[ReceivedReply], None],
     ) -> None:
@@ -57,13 +57,13 @@
 
         Args:
             send: Sends a request.
-            make_probe: Returns requests that change nothing and are acknowledged.
+            make_barriers: Returns requests that change nothing and are acknowledged.
             clock: Local time in seconds.
             note_repetition: Called with each reply that answers no open request.
         """
         self.has_open_transaction = False
         self._send = send
-        self._make_probe = make_probe
+        self._make_barriers = make_barriers
         self._note_repetition = note_repetition
         self._history = ReplyHistory(clock)
         self._replies: deque[ReceivedReply] = deque()
@@ -171,7 +171,7 @@
         expected = Expectation(ReplyKind.ACKNOWLEDGED, self.has_open_transaction)
         try:
             self._open(False)
-            await self._probe(expected, set())
+            await self._settle_with_barriers(expected, set())
         except BackendError as error:
             raise NotSentError(str(error)) from error
         self._close_request()
@@ -272,7 +272,7 @@
             self.fail(AmbiguousReplyError("a failure equals an earlier one"))
             return reply
         failures = {reply.failure}
-        answer = await self._probe(
+        answer = await self._settle_with_barriers(
             Expectation(ReplyKind.ACKNOWLEDGED, False), failures, expected
         )
         if answer is not None:
@@ -281,16 +281,16 @@
             raise AmbiguousReplyError("one of several failures is the reply")
         return reply
 
-    async def _probe(
+    async def _settle_with_barriers(
         self,
         acknowledged: Expectation,
         failures: set[ServerFailure],
         *open_request: Expectation,
     ) -> ReceivedReply | None:
-        """Send probes until one of them, and so all before them, must be answered.
+        """Send barriers until one of them, and so all before them, must be answered.
 
         Args:
-            acknowledged: The acknowledgement of a probe.
+            acknowledged: The acknowledgement of a barrier.
             failures: Failures that the open request may have been answered with; empty
                 if it must have been acknowledged. Those that arrive are added.
             open_request: What a success of the open request is answered with, if it is
@@ -307,7 +307,7 @@
         is_certain = False
         while awaited > 0 or not is_certain:
             if awaited <= 0:
-                awaited = self._send_probes()
+                awaited = self._send_barriers()
             received = await self._read_answer(acknowledged, *open_request)
             if received.kind is ReplyKind.FAILED:
                 if not failures or not self._history.has_failure_like(received.reply):
@@ -326,17 +326,17 @@
             self._doubtful[None] = awaited
         return received if received.kind is ReplyKind.RECEIPT else None
 
-    def _send_probes(self) -> int:
-        """Send as many probes as are needed beside repetitions; return their number."""
+    def _send_barriers(self) -> int:
+        """Send the barriers that are needed beside repetitions; return their number."""
         needed = 1
         last = self._last_reply
         if last is not None and last.kind is ReplyKind.ACKNOWLEDGED:
             needed = max(1, self._count_missing(last))
-        if needed > MAX_PROBES:
+        if needed > MAX_BARRIERS:
             raise AmbiguousReplyError("too many equal replies")
         sent = 0
         while sent < needed:
-            for data in self._make_probe():
+            for data in self._make_barriers():
                 self._send(data)
                 sent += 1
         return sent
--- a/pollencleat/engine/exchange_test.py
+++ b/pollencleat/engine/exchange_test.py
@@ -25,7 +25,7 @@
 )
 from pollencleat.engine.statements import NOT_RUN_FAILURES, ServerFailure, ServerReply
 
-PROBE = b"probe"
+BARRIER = b"barrier"
 READ = Expectation(ReplyKind.RECEIPT, False)
 SET = Expectation(ReplyKind.ACKNOWLEDGED, False)
 BEGIN = Expectation(ReplyKind.ACKNOWLEDGED, True)
@@ -62,7 +62,7 @@
         self.repetitions = []
         self.script = list(script)
         self.exchange = Exchange(
-            self.send, lambda: (PROBE, PROBE), lambda: self.now_s, self.note
+            self.send, lambda: (BARRIER, BARRIER), lambda: self.now_s, self.note
         )
 
     def note(self, received):
@@ -148,15 +148,15 @@
         await connection.exchange.settle()
 
 
-async def test_equal_acknowledgements_are_settled_by_as_many_probes():
+async def test_equal_acknowledgements_are_settled_by_as_many_barriers():
     connection = ScriptedConnection(*[acknowledged()] * 5)
     for _ in range(3):
         await connection.ask(SET)
     await connection.exchange.settle()
-    assert connection.sent.count(PROBE) == 2
+    assert connection.sent.count(BARRIER) == 2
 
 
-async def test_acknowledgement_at_a_new_position_needs_no_probe():
+async def test_acknowledgement_at_a_new_position_needs_no_barrier():
     connection = ScriptedConnection(
         acknowledged(), acknowledged(Position(1, 4)), success("r1")
     )
@@ -164,7 +164,7 @@
     await connection.ask(SET)
     await connection.exchange.settle()
     assert (await connection.ask(READ)).receipt == "r1"
-    assert PROBE not in connection.sent
+    assert BARRIER not in connection.sent
 
 
 async def test_second_refusal_is_no_promise_about_a_write_that_ran():
@@ -277,14 +277,14 @@
         self.in_transaction = False
         self.genuine_replies = []
         self.exchange = Exchange(
-            self.send, lambda: (PROBE, PROBE), lambda: 0.0, lambda received: None
+            self.send, lambda: (BARRIER, BARRIER), lambda: 0.0, lambda received: None
         )
         self.late = []
 
     def send(self, data):
         loop = asyncio.get_running_loop()
         received = self.answer(data)
-        if data != PROBE:
+        if data != BARRIER:
             self.genuine_replies.append(received)
         self.deliver_late_ones()
         loop.call_soon(self.exchange.on_reply, received)
@@ -302,7 +302,7 @@
         if self.random.random() < 0.3:
             self.position += 1
         position = Position(1, self.position)
-        if data != PROBE and self.random.random() < 0.25:
+        if data != BARRIER and self.random.random() < 0.25:
             failure = self.random.choice([ServerFailure.BUSY, ServerFailure.FAILED])
             self.in_transaction = self.in_transaction and data != b"commit"
             received = failed(failure, self.in_transaction)
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -64,11 +64,11 @@
         self._parser = ReplyParser()
         self._exchange = Exchange(
             self._send,
-            self._make_probe,
+            self._make_barriers,
             time.monotonic,
             lambda received: note_repetition(server_id, received),
         )
-        self._probe_numbers = itertools.count(1)
+        self._barrier_numbers = itertools.count(1)
         self._is_closed = False
         self.values: dict[str, str] = {}
         self.names_by_shape: dict[Shape, str] = {}
@@ -127,8 +127,8 @@
             raise BackendLostError("the connection is closed")
         self._transport.write(data)
 
-    def _make_probe(self) -> tuple[bytes, ...]:
-        name = f"probe{next(self._probe_numbers)}"
+    def _make_barriers(self) -> tuple[bytes, ...]:
+        name = f"barrier{next(self._barrier_numbers)}"
         return (
             encode_line("QUERY", PROXY_REQUEST_ID, f"PREPARE {name} READ -"),
             encode_line("QUERY", PROXY_REQUEST_ID, f"DEALLOCATE {name}"),
