Exchange: count which requests must have been answered

Cause: outstanding acknowledgements were estimated by content, request by request.

Why it works: they are counted from a moment at which all had been answered, which each receipt brings about anew; of the replies to n requests beyond repetitions of earlier ones, at most every second is a repetition.

--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -42,6 +42,10 @@
 class Exchange:
     """Assigns the replies of one connection to its requests.
 
+    Requests that are acknowledged, and acknowledgements, are counted from a moment at
+    which all requests had been answered.  Beside one reply to each request, only
+    repetitions come: of what had been received by then, and of what has been since.
+
     Attributes:
         has_open_transaction: Whether the server has a transaction open.
     """
@@ -71,22 +75,20 @@
         self._error: BackendError | None = None
         self._is_request_open = False
         self._replies_to_skip = 0
-        # Replies without a receipt since the latest request was sent.
+        self._last_acknowledgement: ReceivedReply | None = None
+        # Requests to be acknowledged that were sent since the count began, the latest
+        # of them that must not have been refused, and the acknowledgements.
+        self._sent = 0
+        self._required = 0
         self._taken: Counter[ServerReply] = Counter()
-        self._last_reply: ReceivedReply | None = None
-        self._is_settled = True
-        # Acknowledgements that may have been repetitions, so that others still come.
-        self._doubtful: Counter[ServerReply | None] = Counter()
 
     @property
     def is_usable(self) -> bool:
         """Whether the next request may be sent."""
         if self._error is not None or self._is_request_open:
             return False
-        last = self._last_reply
-        if last is None or last.kind is ReplyKind.RECEIPT:
-            return True
-        return self._history.count(last) < MAX_EQUAL_REPLIES
+        last = self._last_acknowledgement
+        return last is None or self._history.count(last) < MAX_EQUAL_REPLIES
 
     # Called by the connection.
 
@@ -117,7 +119,11 @@
     # Called by the owner of the connection.
 
     async def request(
-        self, data: bytes, expected: Expectation, is_inside_reply: bool = False
+        self,
+        data: bytes,
+        expected: Expectation,
+        is_inside_reply: bool = False,
+        is_required: bool = True,
     ) -> ServerReply:
         """Send a request and return its reply.
 
@@ -129,44 +135,45 @@
             expected: What a success is answered with.
             is_inside_reply: Whether a reply has already arrived in part, which
                 therefore answers an earlier request.
+            is_required: Whether `settle` has to ensure that it was not refused.
 
         Raises:
             AmbiguousReplyError: The reply may be a repetition.
             BackendLostError: The connection broke or the server broke the protocol.
         """
         self._open(is_inside_reply)
-        if not self._is_settled:
-            self._doubtful[self._last_reply.reply] += 1
-        self._taken.clear()
+        unanswered = self._sent - self._count_answered()
+        is_acknowledged = expected.kind is ReplyKind.ACKNOWLEDGED
+        self._sent += is_acknowledged
         self._send(data)
         received = await self._read_answer(expected)
-        is_failure = received.kind is ReplyKind.FAILED
-        is_new_failure = is_failure and not self._history.has_failure_like(
-            received.reply
-        )
-        is_certain = self._take(received)
         reply = received.reply
-        if is_failure:
-            may_persist = _may_persist(expected)
-            if self._doubtful or not (is_new_failure if may_persist else is_certain):
+        if received.kind is ReplyKind.FAILED:
+            is_doubtful = self._may_be_earlier_failure(received, expected, unanswered)
+            self._history.add(received)
+            if is_doubtful:
                 reply = await self._settle_failure(received, expected)
-        elif is_certain:
-            self._is_settled = True
-        elif received.kind is ReplyKind.ACKNOWLEDGED:
-            self._is_settled = False
-        else:
+            else:
+                self._restart_count(0)
+        elif is_acknowledged:
+            if not self._count_acknowledgement(received) and is_required:
+                self._required = self._sent
+        elif self._history.count(received):
             raise AmbiguousReplyError("the reply equals an earlier one")
+        else:
+            self._history.add(received)
+            self._restart_count(0)
         self._close_request()
         self.has_open_transaction = reply.in_transaction
         return reply
 
     async def settle(self) -> None:
-        """Ensure that the replies to all earlier requests have been received.
+        """Ensure that no required request before was refused.
 
         Raises:
-            NotSentError: One of them was refused, or the connection broke.
+            NotSentError: One was refused, or the connection broke.
         """
-        if self._is_settled:
+        if self._count_answered() >= self._required:
             return
         expected = Expectation(ReplyKind.ACKNOWLEDGED, self.has_open_transaction)
         try:
@@ -216,50 +223,58 @@
         Raises:
             BackendLostError: It cannot answer any.
         """
-        may_be_first = bool(self._doubtful) or not self._is_settled
-        if may_be_first and received.kind is ReplyKind.ACKNOWLEDGED:
-            self._history.add(received)
-        elif not self._history.count(received):
+        may_be_first = received.kind is ReplyKind.ACKNOWLEDGED and self._sent > 0
+        if not may_be_first and not self._history.count(received):
             raise BackendLostError(f"a reply to no request: {received.kind}")
+        is_failure = received.kind is ReplyKind.FAILED
+        if is_failure and self._count_answered() < self._required:
+            raise BackendLostError("an earlier request may have been refused")
+        if may_be_first:
+            self._count_acknowledgement(received)
         self._note_repetition(received)
 
-    def _take(self, received: ReceivedReply) -> bool:
-        """Remember a reply.
+    # Counting.
 
-        Returns:
-            Whether replies to what was sent before the latest request cannot account
-            for it and its equals.
-        """
-        is_certain = self._count_missing(received) <= 1
+    def _count_acknowledgement(self, received: ReceivedReply) -> bool:
+        """Return whether all requests to be acknowledged must have been answered."""
         self._history.add(received)
-        self._last_reply = received
-        if received.kind is not ReplyKind.RECEIPT:
-            self._taken[received.reply] += 1
-        if is_certain and received.kind is not ReplyKind.FAILED:
-            self._doubtful.clear()
-        return is_certain
-
-    def _count_missing(self, received: ReceivedReply) -> int:
-        """Return how many more replies like one make it certain which they answer."""
-        if received.kind is ReplyKind.RECEIPT:
-            return 1
-        reply = received.reply
-        known_before = self._history.count(received) - self._taken[reply]
-        if received.kind is not ReplyKind.ACKNOWLEDGED:
-            return known_before + 1 - self._taken[reply]
-        # Each doubtful one may stand for one of another content, sent twice.
-        if known_before:
-            known_before += 2 * (self._doubtful.total() - self._doubtful[reply])
-            return known_before + 1 - self._taken[reply]
-        return 2 * self._doubtful.total() + 1 - self._count_new()
-
-    def _count_new(self) -> int:
-        """Return how many acknowledgements are like none before the latest request."""
-        return sum(
-            count
-            for reply, count in self._taken.items()
-            if reply.failure is None and self._history.count_equal(reply) == count
-        )
+        self._last_acknowledgement = received
+        self._taken[received.reply] += 1
+        if self._count_answered() < self._sent:
+            return False
+        self._restart_count(0)
+        return True
+
+    def _restart_count(self, sent: int) -> None:
+        """Begin anew, with all but the latest requests answered."""
+        self._sent = sent
+        self._required = 0
+        self._taken.clear()
+
+    def _count_answered(self) -> int:
+        """Return how many requests must have been acknowledged by now."""
+        return sum(self._count_first(reply) for reply in self._taken)
+
+    def _count_first(self, reply: ServerReply) -> int:
+        """Return how many of the equal acknowledgements must be first answers.
+
+        Of those beyond repetitions of earlier ones, every second may repeat another.
+        """
+        return (max(0, self._taken[reply] - self._count_earlier(reply)) + 1) // 2
+
+    def _count_earlier(self, reply: ServerReply) -> int:
+        """Return how many equal replies had been received when the count began."""
+        return max(0, self._history.count_equal(reply) - self._taken[reply])
+
+    # Settling.
+
+    def _may_be_earlier_failure(
+        self, failed: ReceivedReply, expected: Expectation, unanswered: int
+    ) -> bool:
+        """Return whether a failure may answer another request than the open one."""
+        if unanswered or self._history.count(failed):
+            return True
+        return _may_persist(expected) and self._history.has_failure_like(failed.reply)
 
     async def _settle_failure(
         self, failed: ReceivedReply, expected: Expectation
@@ -272,6 +287,8 @@
             self.fail(AmbiguousReplyError("a failure equals an earlier one"))
             return reply
         failures = {reply.failure}
+        # The first barrier.
+        self._required = self._sent + 1
         answer = await self._settle_with_barriers(
             Expectation(ReplyKind.ACKNOWLEDGED, False), failures, expected
         )
@@ -287,7 +304,7 @@
         failures: set[ServerFailure],
         *open_request: Expectation,
     ) -> ReceivedReply | None:
-        """Send barriers until one of them, and so all before them, must be answered.
+        """Send barriers until all required requests must have been answered.
 
         Args:
             acknowledged: The acknowledgement of a barrier.
@@ -303,42 +320,38 @@
             AmbiguousReplyError: A request may have been refused.
             BackendLostError: The connection broke or the server broke the protocol.
         """
-        awaited = 0
-        is_certain = False
-        while awaited > 0 or not is_certain:
-            if awaited <= 0:
-                awaited = self._send_barriers()
+        barriers = 0
+        while self._count_answered() < self._required:
+            if self._taken.total() >= self._sent:
+                barriers += self._send_barriers()
             received = await self._read_answer(acknowledged, *open_request)
-            if received.kind is ReplyKind.FAILED:
-                if not failures or not self._history.has_failure_like(received.reply):
-                    raise AmbiguousReplyError("an earlier request was refused")
-                failures.add(received.reply.failure)
-                continue
-            is_certain = self._take(received) or is_certain
             if received.kind is ReplyKind.RECEIPT:
-                break
-            awaited -= 1
-        self._is_settled = True
-        self._doubtful = Counter(
-            {reply: n for reply, n in self._taken.items() if reply.failure is None}
-        )
-        if awaited > 0:
-            self._doubtful[None] = awaited
-        return received if received.kind is ReplyKind.RECEIPT else None
+                self._history.add(received)
+                self._restart_count(barriers)
+                return received
+            if received.kind is ReplyKind.ACKNOWLEDGED:
+                self._count_acknowledgement(received)
+                continue
+            if not failures or not self._history.has_failure_like(received.reply):
+                raise AmbiguousReplyError("an earlier request was refused")
+            failures.add(received.reply.failure)
+        return None
 
     def _send_barriers(self) -> int:
         """Send the barriers that are needed beside repetitions; return their number."""
-        needed = 1
-        last = self._last_reply
-        if last is not None and last.kind is ReplyKind.ACKNOWLEDGED:
-            needed = max(1, self._count_missing(last))
-        if needed > MAX_BARRIERS:
+        missing = 2 * (self._required - self._count_answered()) - 1
+        last = self._last_acknowledgement
+        if last is not None and last.reply in self._taken:
+            missing += 2 * self._count_first(last.reply) - self._taken[last.reply]
+            missing += self._count_earlier(last.reply)
+        if missing > MAX_BARRIERS:
             raise AmbiguousReplyError("too many equal replies")
         sent = 0
-        while sent < needed:
+        while sent < missing:
             for data in self._make_barriers():
                 self._send(data)
                 sent += 1
+        self._sent += sent
         return sent
 
 
--- a/pollencleat/engine/exchange_test.py
+++ b/pollencleat/engine/exchange_test.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pollencleat.core.data import Position
@@ -148,6 +148,17 @@
         await connection.exchange.settle()
 
 
+async def test_refused_set_that_equals_an_earlier_refusal_ends_the_connection():
+    """It was taken for the second answer to the earlier one, and the read was sent."""
+    connection = ScriptedConnection(failed(), acknowledged(), acknowledged())
+    await connection.ask(READ)
+    await connection.ask(SET)
+    await connection.ask(SET)
+    connection.exchange.on_reply(failed())
+    with pytest.raises(NotSentError):
+        await connection.exchange.settle()
+
+
 async def test_equal_acknowledgements_are_settled_by_as_many_barriers():
     connection = ScriptedConnection(*[acknowledged()] * 5)
     for _ in range(3):
@@ -375,6 +386,9 @@
         assert genuine.failure in NOT_RUN_FAILURES
 
 
+@example(461)
+@example(810)
+@example(4300)
 @given(st.integers(0, 2**32))
 def test_no_answer_is_taken_from_another_request(seed):
     asyncio.run(talk(seed))
