Server connections: a PREPARE needs no settling

A refused PREPARE needs none: the server rejects what is executed under the name, and the connection is then closed. Acknowledgements that may be first answers are no longer counted as repeated (56 were, without a second answer).

--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -231,6 +231,7 @@
             raise BackendLostError("an earlier request may have been refused")
         if may_be_first:
             self._count_acknowledgement(received)
+            return
         self._note_repetition(received)
 
     # Counting.
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -177,9 +177,13 @@
         text = work.text
         if prepared_name:
             text = f"EXECUTE {prepared_name} {work.text}"
-        return await self._execute(
+        reply = await self._execute(
             work.request_id, _format_wait(at_least) + text, self.has_open_transaction
         )
+        if prepared_name and reply.failure is ServerFailure.UNKNOWN_NAME:
+            # The statements prepared on the connection are not those remembered.
+            self.close()
+        return reply
 
     async def commit(self, commit: Commit) -> ServerReply:
         """Commit the transaction."""
@@ -196,7 +200,10 @@
     async def prepare(self, name: str, shape: Shape) -> ServerReply:
         """Prepare a statement under a name that is local to this connection."""
         access = shape.access.name
-        return await self._acknowledge(f"PREPARE {name} {access} {shape.text}")
+        # A server that has refused it rejects what is executed under the name.
+        return await self._acknowledge(
+            f"PREPARE {name} {access} {shape.text}", is_required=False
+        )
 
     async def reset(self) -> ServerReply:
         """Clear session variables and prepared statements."""
@@ -225,11 +232,12 @@
         text: str,
         request_id: str = PROXY_REQUEST_ID,
         in_transaction: bool | None = None,
+        is_required: bool = True,
     ) -> ServerReply:
         if in_transaction is None:
             in_transaction = self.has_open_transaction
         expected = Expectation(ReplyKind.ACKNOWLEDGED, in_transaction)
-        return await self._query(request_id, text, expected)
+        return await self._query(request_id, text, expected, is_required)
 
     async def _execute(
         self, request_id: str, text: str, in_transaction: bool
@@ -239,16 +247,23 @@
         return await self._query(request_id, text, expected)
 
     async def _query(
-        self, request_id: str, text: str, expected: Expectation
+        self,
+        request_id: str,
+        text: str,
+        expected: Expectation,
+        is_required: bool = True,
     ) -> ServerReply:
-        return await self._request(encode_line("QUERY", request_id, text), expected)
+        data = encode_line("QUERY", request_id, text)
+        return await self._request(data, expected, is_required)
 
-    async def _request(self, data: bytes, expected: Expectation) -> ServerReply:
+    async def _request(
+        self, data: bytes, expected: Expectation, is_required: bool = True
+    ) -> ServerReply:
         if self._is_closed:
             raise BackendLostError("the connection is closed")
         try:
             return await self._exchange.request(
-                data, expected, self._parser.is_inside_reply
+                data, expected, self._parser.is_inside_reply, is_required
             )
         except BaseException:
             # The reply may still arrive; the next request must not read it.
