--- a/pollencleat/daemon/entry_vm.py
+++ b/pollencleat/daemon/entry_vm.py
@@ -35,7 +35,7 @@
 from pollencleat.daemon.runtime import NodeRuntime
 from pollencleat.engine.access import ServerAccess
 from pollencleat.engine.listener import SessionListener
-from pollencleat.engine.replies import ReceivedReply
+from pollencleat.engine.replies import ReceivedReply, RepetitionRecord
 from pollencleat.hops.borrower import HopBorrower
 from pollencleat.hops.lender import HopLender
 from pollencleat.limits.shares import reserved_connections
@@ -116,6 +116,7 @@
         self.board.tracks_all_requests = True
         self.board.leaving_limit_s = settings.leaving_limit_s
         self._output = output
+        self._repetition_records_by_server: dict[str, RepetitionRecord] = {}
         self.client = ObjectClient(
             settings.store,
             RefusedObjects(lambda kind: self.metrics.count("object_refused", kind)),
@@ -125,7 +126,7 @@
             settings.promotion,
             self._is_current_promoter,
             lambda server_id: reserved_connections(self.board, server_id) > 0,
-            self._note_repetition,
+            self._repetition_record,
         )
         self.access = ServerAccess(
             self.board, self.metrics, read_boottime_s, self._make_pool, self.faults
@@ -177,19 +178,24 @@
 
     def _make_pool(self, server: BackendServer) -> ServerPool:
         def open_to_server() -> Awaitable[ServerConnection]:
-            opening = open_server_connection(server, self._note_repetition)
+            record = self._repetition_record(server.server_id)
+            opening = open_server_connection(server, record)
             return self.access.open_tracked(server.server_id, opening)
 
         return ServerPool(server, open_to_server, read_boottime_s)
 
-    def _note_repetition(self, server_id: str, received: ReceivedReply) -> None:
-        self.metrics.count("reply_repeated", server_id)
-        log.info(
-            "reply repeated",
-            server=server_id,
-            kind=received.kind,
-            receipt=received.reply.receipt,
-        )
+    def _repetition_record(self, server_id: str) -> RepetitionRecord:
+        def observe(received: ReceivedReply) -> None:
+            self.metrics.count("reply_repeated", server_id)
+            log.info(
+                "reply repeated",
+                server=server_id,
+                kind=received.kind,
+                receipt=received.reply.receipt,
+            )
+
+        records = self._repetition_records_by_server
+        return records.setdefault(server_id, RepetitionRecord(observe))
 
     def _is_current_promoter(self, group_id: str, fence: int) -> bool:
         return is_current_promoter(self.board, group_id, fence, read_boottime_s())
--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -10,10 +10,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from pollencleat.core.bounds import is_before
+from pollencleat.core.data import Position
 from pollencleat.core.errors import BackendError, BackendLostError
 from pollencleat.engine.replies import (
     Expectation,
     ReceivedReply,
+    RepetitionRecord,
     ReplyHistory,
     ReplyKind,
 )
@@ -30,6 +33,9 @@
 MAX_BARRIERS = 32
 """Barriers that may be sent at a time; a connection that needs more is given up."""
 
+MAX_BARRIERS_IF_PROVEN = 2
+"""The same for a server that is proven to answer once; more are saved there."""
+
 
 class NotSentError(BackendError):
     """The statement was not sent: the connection's state could not be settled."""
@@ -48,6 +54,8 @@
 
     Attributes:
         has_open_transaction: Whether the server has a transaction open.
+        position: Newest log position among the acknowledgements since the latest
+            request.
     """
 
     def __init__(
@@ -55,7 +63,7 @@
         send: Callable[[bytes], None],
         make_barriers: Callable[[], tuple[bytes, ...]],
         clock: Callable[[], float],
-        note_repetition: Callable[[ReceivedReply], None],
+        record: RepetitionRecord,
     ) -> None:
         """Start on a new connection.
 
@@ -63,19 +71,22 @@
             send: Sends a request.
             make_barriers: Returns requests that change nothing and are acknowledged.
             clock: Local time in seconds.
-            note_repetition: Called with each reply that answers no open request.
+            record: Shared by all connections to the server.
         """
+        self._record = record
         self.has_open_transaction = False
+        self.position: Position | None = None
         self._send = send
         self._make_barriers = make_barriers
-        self._note_repetition = note_repetition
         self._history = ReplyHistory(clock)
         self._replies: deque[ReceivedReply] = deque()
         self._arrival: asyncio.Future | None = None
         self._error: BackendError | None = None
         self._is_request_open = False
         self._replies_to_skip = 0
-        self._last_acknowledgement: ReceivedReply | None = None
+        self._last_acknowledgement: ServerReply | None = None
+        self._last_by_state: dict[bool, ServerReply] = {}
+        self._has_outdated_status = False
         # Requests to be acknowledged that were sent since the count began, the latest
         # of them that must not have been refused, and the acknowledgements.
         self._sent = 0
@@ -87,8 +98,14 @@
         """Whether the next request may be sent."""
         if self._error is not None or self._is_request_open:
             return False
-        last = self._last_acknowledgement
-        return last is None or self._history.count(last) < MAX_EQUAL_REPLIES
+        if self._history.is_full:
+            return False
+        if self._record.is_proven:
+            return True
+        return all(
+            self._history.count_equal(reply) < MAX_EQUAL_REPLIES
+            for reply in self._last_by_state.values()
+        )
 
     # Called by the connection.
 
@@ -124,6 +141,7 @@
         expected: Expectation,
         is_inside_reply: bool = False,
         is_required: bool = True,
+        may_be_outdated: bool = False,
     ) -> ServerReply:
         """Send a request and return its reply.
 
@@ -136,12 +154,18 @@
             is_inside_reply: Whether a reply has already arrived in part, which
                 therefore answers an earlier request.
             is_required: Whether `settle` has to ensure that it was not refused.
+            may_be_outdated: Whether a status may be that of an earlier request.
+
+        Returns:
+            The reply; without a log position if it may be a repetition.
 
         Raises:
+            NotSentError: The connection had ended before.
             AmbiguousReplyError: The reply may be a repetition.
             BackendLostError: The connection broke or the server broke the protocol.
         """
         self._open(is_inside_reply)
+        self.position = None
         unanswered = self._sent - self._count_answered()
         is_acknowledged = expected.kind is ReplyKind.ACKNOWLEDGED
         self._sent += is_acknowledged
@@ -156,14 +180,20 @@
             else:
                 self._restart_count(0)
         elif is_acknowledged:
-            if not self._count_acknowledgement(received) and is_required:
-                self._required = self._sent
-        elif self._history.count(received):
-            raise AmbiguousReplyError("the reply equals an earlier one")
+            if not self._count_acknowledgement(received):
+                reply = replace(reply, position=None)
+                if is_required:
+                    self._required = self._sent
         else:
+            if self._has_outdated_status or self._history.count(received):
+                if not may_be_outdated:
+                    raise AmbiguousReplyError("the reply may be an earlier one")
+                self._has_outdated_status = True
             self._history.add(received)
             self._restart_count(0)
         self._close_request()
+        if not is_acknowledged:
+            self._record.note_reply()
         self.has_open_transaction = reply.in_transaction
         return reply
 
@@ -175,6 +205,8 @@
         """
         if self._count_answered() >= self._required:
             return
+        if self._record.is_proven and self._count_missing() > MAX_BARRIERS_IF_PROVEN:
+            return
         expected = Expectation(ReplyKind.ACKNOWLEDGED, self.has_open_transaction)
         try:
             self._open(False)
@@ -185,9 +217,9 @@
 
     def _open(self, is_inside_reply: bool) -> None:
         if self._error is not None:
-            raise self._error
+            raise NotSentError(str(self._error)) from self._error
         if self._is_request_open:
-            raise BackendLostError("the connection has a pending reply")
+            raise NotSentError("the connection has a pending reply")
         # Stays open after an error: the reply may still arrive.
         self._is_request_open = True
         self._replies_to_skip = int(is_inside_reply)
@@ -223,7 +255,11 @@
         Raises:
             BackendLostError: It cannot answer any.
         """
-        may_be_first = received.kind is ReplyKind.ACKNOWLEDGED and self._sent > 0
+        # One that is expected to come no more cannot answer the open request either.
+        may_be_first = received.kind is ReplyKind.ACKNOWLEDGED and (
+            self._sent > 0
+            or (self._is_request_open and self._last_acknowledgement is not None)
+        )
         if not may_be_first and not self._history.count(received):
             raise BackendLostError(f"a reply to no request: {received.kind}")
         is_failure = received.kind is ReplyKind.FAILED
@@ -232,15 +268,20 @@
         if may_be_first:
             self._count_acknowledgement(received)
             return
-        self._note_repetition(received)
+        self._record.note_repetition(received)
 
     # Counting.
 
     def _count_acknowledgement(self, received: ReceivedReply) -> bool:
         """Return whether all requests to be acknowledged must have been answered."""
+        reply = received.reply
+        self._record.note_reply()
         self._history.add(received)
-        self._last_acknowledgement = received
-        self._taken[received.reply] += 1
+        self._last_acknowledgement = reply
+        self._last_by_state[reply.in_transaction] = reply
+        if self.position is None or is_before(self.position, reply.position):
+            self.position = reply.position
+        self._taken[reply] += 1
         if self._count_answered() < self._sent:
             return False
         self._restart_count(0)
@@ -267,6 +308,15 @@
         """Return how many equal replies had been received when the count began."""
         return max(0, self._history.count_equal(reply) - self._taken[reply])
 
+    def _count_missing(self) -> int:
+        """Return how many more acknowledgements, like the last one, are needed."""
+        missing = 2 * (self._required - self._count_answered()) - 1
+        last = self._last_acknowledgement
+        if last in self._taken:
+            missing += 2 * self._count_first(last) - self._taken[last]
+            missing += self._count_earlier(last)
+        return missing
+
     # Settling.
 
     def _may_be_earlier_failure(
@@ -290,9 +340,9 @@
         failures = {reply.failure}
         # The first barrier.
         self._required = self._sent + 1
-        answer = await self._settle_with_barriers(
-            Expectation(ReplyKind.ACKNOWLEDGED, False), failures, expected
-        )
+        # Neither a write of its own nor a commit needs a state: both end in any.
+        acknowledged = Expectation(ReplyKind.ACKNOWLEDGED)
+        answer = await self._settle_with_barriers(acknowledged, failures, expected)
         if answer is not None:
             return answer.reply
         if len(failures) > 1 and not failures <= NOT_RUN_FAILURES:
@@ -321,10 +371,10 @@
             AmbiguousReplyError: A request may have been refused.
             BackendLostError: The connection broke or the server broke the protocol.
         """
-        barriers = 0
+        barriers = refusals = 0
         while self._count_answered() < self._required:
-            if self._taken.total() >= self._sent:
-                barriers += self._send_barriers()
+            if self._taken.total() + refusals >= self._sent:
+                barriers += self._send_barriers(MAX_BARRIERS - barriers)
             received = await self._read_answer(acknowledged, *open_request)
             if received.kind is ReplyKind.RECEIPT:
                 self._history.add(received)
@@ -336,16 +386,13 @@
             if not failures or not self._history.has_failure_like(received.reply):
                 raise AmbiguousReplyError("an earlier request was refused")
             failures.add(received.reply.failure)
+            refusals += 1
         return None
 
-    def _send_barriers(self) -> int:
+    def _send_barriers(self, limit: int) -> int:
         """Send the barriers that are needed beside repetitions; return their number."""
-        missing = 2 * (self._required - self._count_answered()) - 1
-        last = self._last_acknowledgement
-        if last is not None and last.reply in self._taken:
-            missing += 2 * self._count_first(last.reply) - self._taken[last.reply]
-            missing += self._count_earlier(last.reply)
-        if missing > MAX_BARRIERS:
+        missing = self._count_missing()
+        if missing > limit:
             raise AmbiguousReplyError("too many equal replies")
         sent = 0
         while sent < missing:
--- a/pollencleat/engine/exchange_test.py
+++ b/pollencleat/engine/exchange_test.py
@@ -17,10 +17,11 @@
     NotSentError,
 )
 from pollencleat.engine.replies import (
-    MIN_REMEMBERED_RECEIPTS,
+    MAX_REMEMBERED_REPLIES,
     REPETITION_LIMIT_S,
     Expectation,
     ReceivedReply,
+    RepetitionRecord,
     ReplyKind,
 )
 from pollencleat.engine.statements import NOT_RUN_FAILURES, ServerFailure, ServerReply
@@ -61,13 +62,14 @@
         self.sent = []
         self.repetitions = []
         self.script = list(script)
+        self.record = RepetitionRecord(self.repetitions.append)
         self.exchange = Exchange(
-            self.send, lambda: (BARRIER, BARRIER), lambda: self.now_s, self.note
+            self.send,
+            lambda: (BARRIER, BARRIER),
+            lambda: self.now_s,
+            self.record,
         )
 
-    def note(self, received):
-        self.repetitions.append(received)
-
     def send(self, data):
         self.sent.append(data)
         replies = self.script.pop(0) if self.script else ()
@@ -115,7 +117,7 @@
     await connection.ask(READ)
     connection.exchange.on_reply(success("other"))
     assert not connection.exchange.is_usable
-    with pytest.raises(BackendLostError):
+    with pytest.raises(NotSentError):
         await connection.ask(READ)
 
 
@@ -255,15 +257,17 @@
     assert connection.exchange.is_usable
 
 
-async def test_receipts_of_an_idle_connection_are_remembered():
+async def test_receipt_is_remembered_for_the_connections_life():
     connection = ScriptedConnection(
-        *(success(f"r{number}") for number in range(MIN_REMEMBERED_RECEIPTS))
+        *(success(f"r{number}") for number in range(MAX_REMEMBERED_REPLIES))
     )
-    for _ in range(MIN_REMEMBERED_RECEIPTS):
+    for _ in range(MAX_REMEMBERED_REPLIES):
+        assert connection.exchange.is_usable
         await connection.ask(READ)
         connection.now_s += REPETITION_LIMIT_S
     connection.exchange.on_reply(success("r0"))
-    assert connection.exchange.is_usable
+    assert connection.repetitions == [success("r0")]
+    assert not connection.exchange.is_usable
 
 
 async def test_abandoned_request_leaves_the_connection_unusable():
@@ -288,7 +292,10 @@
         self.in_transaction = False
         self.genuine_replies = []
         self.exchange = Exchange(
-            self.send, lambda: (BARRIER, BARRIER), lambda: 0.0, lambda received: None
+            self.send,
+            lambda: (BARRIER, BARRIER),
+            lambda: 0.0,
+            RepetitionRecord(),
         )
         self.late = []
 
--- a/pollencleat/engine/reads.py
+++ b/pollencleat/engine/reads.py
@@ -13,6 +13,7 @@
     StatementTimeoutError,
 )
 from pollencleat.engine.access import RETRY_AFTER_MS, GatewayRead
+from pollencleat.engine.exchange import NotSentError
 from pollencleat.engine.hedging import run_hedged
 from pollencleat.engine.statements import Answer, ServerReply, Work
 from pollencleat.engine.steps import (
@@ -60,6 +61,8 @@
             try:
                 return await self._read_with_hedging(read, target)
             except RetryableError as error:
+                if error.may_retry_there:
+                    read.tried_servers.discard(target.server_id)
                 self._steps.require_attempts_left(error.cause)
 
     async def _read_with_hedging(self, read: Read, target: Target) -> Answer:
@@ -135,7 +138,8 @@
             raise RetryableError(
                 NoReplicaError(
                     f"{target.server_id}: {describe_error(error)}", RETRY_AFTER_MS
-                )
+                ),
+                may_retry_there=isinstance(error, NotSentError),
             ) from error
         finally:
             lease.release(reusable)
--- a/pollencleat/engine/steps.py
+++ b/pollencleat/engine/steps.py
@@ -22,6 +22,7 @@
     WritesUnavailableError,
 )
 from pollencleat.engine.access import RETRY_AFTER_MS, ServerAccess
+from pollencleat.engine.exchange import NotSentError
 from pollencleat.engine.restore import restore_shape, restore_values
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import (
@@ -69,12 +70,14 @@
 
     Attributes:
         cause: Error for the caller if no attempt is left.
+        may_retry_there: Whether another connection to the same server may be tried.
     """
 
-    def __init__(self, cause: CallerError) -> None:
+    def __init__(self, cause: CallerError, may_retry_there: bool = False) -> None:
         """Wrap the error for the caller."""
         super().__init__(cause.detail)
         self.cause = cause
+        self.may_retry_there = may_retry_there
 
 
 class StatementSteps:
@@ -305,7 +308,10 @@
 def unreachable_error(target: Target, error: Exception) -> RetryableError:
     """Return the error for a server that failed before the statement was sent."""
     reason = f"{target.server_id}: {describe_error(error)}"
-    return RetryableError(BackendUnreachableError(reason, RETRY_AFTER_MS))
+    may_retry_there = isinstance(error, NotSentError)
+    return RetryableError(
+        BackendUnreachableError(reason, RETRY_AFTER_MS), may_retry_there
+    )
 
 
 def describe_error(error: Exception) -> str:
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -196,7 +196,8 @@
                 await self._begin_on_connection(lease, target, transaction)
                 return
             except RetryableError as error:
-                excluded.add(target.server_id)
+                if not error.may_retry_there:
+                    excluded.add(target.server_id)
                 self._steps.require_attempts_left(error.cause)
 
     async def _begin_on_connection(
--- a/pollencleat/engine/writes.py
+++ b/pollencleat/engine/writes.py
@@ -50,7 +50,8 @@
                     lease, target, route, work, deadline_s
                 )
             except RetryableError as error:
-                excluded.add(target.server_id)
+                if not error.may_retry_there:
+                    excluded.add(target.server_id)
                 self._steps.require_attempts_left(error.cause)
 
     async def _write_on_connection(
--- a/pollencleat/platform/orders.py
+++ b/pollencleat/platform/orders.py
@@ -12,8 +12,8 @@
 from pollencleat.core.errors import BackendError
 from pollencleat.core.timers import read_boottime_s
 from pollencleat.engine.exchange import AmbiguousReplyError
+from pollencleat.engine.replies import RepetitionRecord
 from pollencleat.platform.servers import (
-    NoteRepetition,
     ServerConnection,
     open_server_connection,
 )
@@ -51,7 +51,7 @@
         promotion: Endpoint,
         is_current_promoter: Callable[[str, int], bool],
         may_keep_open: Callable[[str], bool],
-        note_repetition: NoteRepetition,
+        repetition_record: Callable[[str], RepetitionRecord],
     ) -> None:
         """Use the platform's promotion service at an address.
 
@@ -62,10 +62,10 @@
                 each promotion call; False prevents the call.
             may_keep_open: Called with a server id; whether a connection to the
                 server is reserved for this node and so may stay open while idle.
-            note_repetition: Called with the server's id and each reply that answers no
-                open command.
+            repetition_record: Called with a server id; the record that all connections
+                to the server share.
         """
-        self._note_repetition = note_repetition
+        self._repetition_record = repetition_record
         self._may_keep_open = may_keep_open
         self._board = board
         self._is_current_promoter = is_current_promoter
@@ -120,7 +120,7 @@
         try:
             async with asyncio.timeout(PROMOTION_TIMEOUT_S):
                 while True:
-                    status = await self.read_status(server_id)
+                    status = await self._run_command(server_id, "STATUS", True)
                     if not status.read_only and status.term >= term:
                         return status
                     await asyncio.sleep(STATUS_POLL_INTERVAL_S)
@@ -154,7 +154,9 @@
             raise BackendError(f"server {server_id} is not registered")
         return server
 
-    async def _run_command(self, server_id: str, text: str) -> ServerStatus:
+    async def _run_command(
+        self, server_id: str, text: str, may_be_outdated: bool = False
+    ) -> ServerStatus:
         lock = self._locks_by_server.setdefault(server_id, asyncio.Lock())
 
         async def run() -> ServerStatus:
@@ -162,7 +164,7 @@
                 connection = await self._connect(server_id)
                 self._last_used_s_by_server[server_id] = read_boottime_s()
                 try:
-                    status = await connection.run_command(text)
+                    status = await connection.run_command(text, may_be_outdated)
                 except AmbiguousReplyError:
                     # Only a new connection has no earlier reply that may be repeated.
                     connection = await self._connect(server_id)
@@ -182,7 +184,9 @@
             ):
                 return connection
             connection.close()
-        connection = await open_server_connection(server, self._note_repetition)
+        connection = await open_server_connection(
+            server, self._repetition_record(server_id)
+        )
         self._opened_at_s_by_server[server_id] = read_boottime_s()
         self._connections_by_server[server_id] = connection
         self._connected_servers_by_id[server_id] = server
--- a/pollencleat/platform/orders_test.py
+++ b/pollencleat/platform/orders_test.py
@@ -6,8 +6,8 @@
 
 from pollencleat.core.data import BackendServer, Inventory
 from pollencleat.core.errors import BackendDeclinedError
+from pollencleat.engine.replies import RepetitionRecord
 from pollencleat.platform.orders import PlatformOrders
-from pollencleat.platform.servers import ignore_repetition
 from pollencleat.platform.settings import Endpoint
 
 STARTED = b"READY I 3.5\r\n"
@@ -53,7 +53,7 @@
         Endpoint("127.0.0.1", 1),
         lambda group_id, fence: True,
         lambda server_id: True,
-        ignore_repetition,
+        lambda server_id: RepetitionRecord(),
     )
     try:
         return await run(orders)
--- a/pollencleat/platform/reply_parser.py
+++ b/pollencleat/platform/reply_parser.py
@@ -73,6 +73,9 @@
             raise BackendLostError("the line is no text") from error
         self._has_lines = True
         word, _, rest = line.partition(" ")
+        has_ended = self._receipt is not None or self._failure is not None
+        if has_ended and word != "READY":
+            raise BackendLostError(f"{word[:40]!r} after the end of a reply")
         if word == "DATAROW":
             self._rows.append(rest)
         elif word == "COMPLETE":
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable
+from dataclasses import replace
 
 from pollencleat.core.data import BackendServer, Position, ServerStatus
 from pollencleat.core.errors import (
@@ -14,8 +14,8 @@
     BackendRefusedError,
 )
 from pollencleat.core.sockets import CONNECT_ERRORS, configure_socket
-from pollencleat.engine.exchange import Exchange
-from pollencleat.engine.replies import Expectation, ReceivedReply, ReplyKind
+from pollencleat.engine.exchange import Exchange, NotSentError
+from pollencleat.engine.replies import Expectation, RepetitionRecord, ReplyKind
 from pollencleat.engine.statements import (
     Begin,
     Commit,
@@ -40,25 +40,14 @@
 PRIMARY_ROLE = "primary"
 
 
-NoteRepetition = Callable[[str, ReceivedReply], None]
-"""Called with a server's id and each reply that answers no open request."""
-
-
-def ignore_repetition(server_id: str, received: ReceivedReply) -> None:
-    """Note nothing."""
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection to a server; carries one request at a time."""
 
-    def __init__(
-        self, server_id: str = "", note_repetition: NoteRepetition = ignore_repetition
-    ) -> None:
+    def __init__(self, record: RepetitionRecord | None = None) -> None:
         """Create the protocol of a connection that is to be opened.
 
         Args:
-            server_id: Id of the server.
-            note_repetition: Called with each reply that answers no open request.
+            record: Shared by all connections to the server, or None.
         """
         self._transport: asyncio.Transport | None = None
         self._parser = ReplyParser()
@@ -66,7 +55,7 @@
             self._send,
             self._make_barriers,
             time.monotonic,
-            lambda received: note_repetition(server_id, received),
+            record or RepetitionRecord(),
         )
         self._barrier_numbers = itertools.count(1)
         self._is_closed = False
@@ -162,8 +151,9 @@
         reply = await self._acknowledge(
             _format_wait(at_least) + verb, begin.request_id, True
         )
-        if reply.failure is None:
+        if reply.failure is None and reply.position is None:
             await self._exchange.settle()
+            return replace(reply, position=self._exchange.position)
         return reply
 
     async def run(
@@ -209,11 +199,14 @@
         """Clear session variables and prepared statements."""
         return await self._acknowledge("DISCARD")
 
-    async def run_command(self, text: str) -> ServerStatus:
+    async def run_command(
+        self, text: str, may_be_outdated: bool = False
+    ) -> ServerStatus:
         """Send a control command, which the server answers with its status.
 
         Args:
             text: The command.
+            may_be_outdated: Whether the status may be the answer to an earlier one.
 
         Returns:
             The status.
@@ -222,7 +215,9 @@
             AmbiguousReplyError: The answer may be that to an earlier command.
             BackendError: The server refused, or the answer is malformed.
         """
-        reply = await self._query(PROXY_REQUEST_ID, text, Expectation(ReplyKind.STATUS))
+        data = encode_line("QUERY", PROXY_REQUEST_ID, text)
+        expected = Expectation(ReplyKind.STATUS)
+        reply = await self._request(data, expected, may_be_outdated=may_be_outdated)
         if reply.failure is not None:
             raise _make_refusal_error(reply)
         return parse_status(reply.rows[0])
@@ -257,13 +252,21 @@
         return await self._request(data, expected, is_required)
 
     async def _request(
-        self, data: bytes, expected: Expectation, is_required: bool = True
+        self,
+        data: bytes,
+        expected: Expectation,
+        is_required: bool = True,
+        may_be_outdated: bool = False,
     ) -> ServerReply:
-        if self._is_closed:
-            raise BackendLostError("the connection is closed")
+        if self._is_closed or self._transport.is_closing():
+            raise NotSentError("the connection is closed")
         try:
             return await self._exchange.request(
-                data, expected, self._parser.is_inside_reply, is_required
+                data,
+                expected,
+                self._parser.is_inside_reply,
+                is_required,
+                may_be_outdated,
             )
         except BaseException:
             # The reply may still arrive; the next request must not read it.
@@ -320,13 +323,13 @@
 
 async def open_server_connection(
     server: BackendServer,
-    note_repetition: NoteRepetition = ignore_repetition,
+    record: RepetitionRecord | None = None,
 ) -> ServerConnection:
     """Connect to a server and verify its id.
 
     Args:
         server: The server.
-        note_repetition: Called with each reply that answers no open request.
+        record: Shared by all connections to the server, or None.
 
     Returns:
         An open connection.
@@ -338,7 +341,7 @@
     loop = asyncio.get_running_loop()
     try:
         _, connection = await loop.create_connection(
-            lambda: ServerConnection(server.server_id, note_repetition),
+            lambda: ServerConnection(record),
             server.host,
             server.port,
         )
