Review: a refusal repeated after 15 s is taken for a write's outcome

What callers would see: BUSY, a promise that nothing is kept, for a write that ran. Evidence: the test fails: the reply is the refusal, the receipt w came after it.

--- a/pollencleat/engine/exchange_review_test.py
+++ b/pollencleat/engine/exchange_review_test.py
@@ -148,3 +148,15 @@
     await connection.ask(SET)
     reply = await connection.ask(SET)
     assert reply.position is None
+
+
+async def test_refusal_repeated_after_the_limit_is_no_promise_about_a_write():
+    busy = failed()
+    connection = ScriptedConnection(busy, (busy, success("w")), acknowledged())
+    await connection.ask(READ)
+    connection.now_s += REPETITION_LIMIT_S
+    try:
+        reply = await connection.ask(READ, b"write")
+    except BackendError:
+        return
+    assert reply.receipt == "w"
