Exchange: replies are remembered for the connection's life

With the limits on equal replies and on the life of a connection, forgetting after 15 s is not needed: what had been forgotten was believed again (five tests of the review).

--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -62,7 +62,6 @@
         self,
         send: Callable[[bytes], None],
         make_barriers: Callable[[], tuple[bytes, ...]],
-        clock: Callable[[], float],
         record: RepetitionRecord,
     ) -> None:
         """Start on a new connection.
@@ -70,7 +69,6 @@
         Args:
             send: Sends a request.
             make_barriers: Returns requests that change nothing and are acknowledged.
-            clock: Local time in seconds.
             record: Shared by all connections to the server.
         """
         self._record = record
@@ -78,7 +76,7 @@
         self.position: Position | None = None
         self._send = send
         self._make_barriers = make_barriers
-        self._history = ReplyHistory(clock)
+        self._history = ReplyHistory()
         self._replies: deque[ReceivedReply] = deque()
         self._arrival: asyncio.Future | None = None
         self._error: BackendError | None = None
@@ -103,7 +101,7 @@
         if self._record.is_proven:
             return True
         return all(
-            self._history.count_equal(reply) < MAX_EQUAL_REPLIES
+            self._history.count(reply) < MAX_EQUAL_REPLIES
             for reply in self._last_by_state.values()
         )
 
@@ -185,7 +183,7 @@
                 if is_required:
                     self._required = self._sent
         else:
-            if self._has_outdated_status or self._history.count(received):
+            if self._has_outdated_status or self._history.count(received.reply):
                 if not may_be_outdated:
                     raise AmbiguousReplyError("the reply may be an earlier one")
                 self._has_outdated_status = True
@@ -243,7 +241,8 @@
             received = await self._read()
             is_expected = any(kind.allows(received) for kind in expected)
             is_repeated_receipt = (
-                received.kind is ReplyKind.RECEIPT and self._history.count(received)
+                received.kind is ReplyKind.RECEIPT
+                and self._history.count(received.reply)
             )
             if is_expected and not is_repeated_receipt:
                 return received
@@ -260,7 +259,7 @@
             self._sent > 0
             or (self._is_request_open and self._last_acknowledgement is not None)
         )
-        if not may_be_first and not self._history.count(received):
+        if not may_be_first and not self._history.count(received.reply):
             raise BackendLostError(f"a reply to no request: {received.kind}")
         is_failure = received.kind is ReplyKind.FAILED
         if is_failure and self._count_answered() < self._required:
@@ -306,7 +305,7 @@
 
     def _count_earlier(self, reply: ServerReply) -> int:
         """Return how many equal replies had been received when the count began."""
-        return max(0, self._history.count_equal(reply) - self._taken[reply])
+        return max(0, self._history.count(reply) - self._taken[reply])
 
     def _count_missing(self) -> int:
         """Return how many more acknowledgements, like the last one, are needed."""
@@ -323,7 +322,7 @@
         self, failed: ReceivedReply, expected: Expectation, unanswered: int
     ) -> bool:
         """Return whether a failure may answer another request than the open one."""
-        if unanswered or self._history.count(failed):
+        if unanswered or self._history.count(failed.reply):
             return True
         return _may_persist(expected) and self._history.has_failure_like(failed.reply)
 
--- a/pollencleat/engine/replies.py
+++ b/pollencleat/engine/replies.py
@@ -7,17 +7,14 @@
 """
 
 import enum
-from collections import deque
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from pollencleat.engine.statements import ServerFailure, ServerReply
 
-REPETITION_LIMIT_S = 15.0
-"""How long after an acknowledgement its repetition is expected."""
-
 MAX_REMEMBERED_REPLIES = 2_000
-"""Receipts, statuses and failures after which a connection is replaced."""
+"""Different replies after which a connection is replaced."""
 
 PROVEN_AFTER_REPLIES = 200
 """Replies in a row without a repetition after which a server counts as proven."""
@@ -92,65 +89,34 @@
 
 
 class ReplyHistory:
-    """The replies that a connection has received.
-
-    Acknowledgements and exact refusals are forgotten after a while: so many are equal
-    that the rest of the connection's life would be spent on telling them apart.
-    """
+    """The replies that a connection has received in its life."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
-        """Start empty; the clock gives local time in seconds."""
-        self._clock = clock
-        # Hashes, since receipts and rows are long and many.
-        self._unique_keys: set[int] = set()
+    def __init__(self) -> None:
+        """Start empty."""
+        # By hash, since receipts and rows are long.
+        self._count_by_key: Counter[int] = Counter()
         self._failures: set[tuple[ServerFailure, str]] = set()
-        self._recent: deque[tuple[float, ServerReply]] = deque()
-        self._count_by_reply: dict[ServerReply, int] = {}
 
     @property
     def is_full(self) -> bool:
         """Whether the connection should be replaced by one without a history."""
-        return len(self._unique_keys) + len(self._failures) >= MAX_REMEMBERED_REPLIES
+        return len(self._count_by_key) >= MAX_REMEMBERED_REPLIES
 
     def add(self, received: ReceivedReply) -> None:
         """Remember a reply."""
         reply = received.reply
-        if received.kind in _kept_kinds:
-            self._unique_keys.add(_key_of(received))
-            return
         if received.kind is ReplyKind.FAILED:
             self._failures.add((reply.failure, reply.detail))
-        self._recent.append((self._clock(), reply))
-        self._count_by_reply[reply] = self._count_by_reply.get(reply, 0) + 1
-
-    def count(self, received: ReceivedReply) -> int:
-        """Return how many equal replies were received that may be repeated now."""
-        if received.kind in _kept_kinds:
-            return int(_key_of(received) in self._unique_keys)
-        return self.count_equal(received.reply)
+        self._count_by_key[_key_of(reply)] += 1
 
-    def count_equal(self, reply: ServerReply) -> int:
-        """Return how many equal acknowledgements or failures may be repeated now."""
-        self._forget_old()
-        return self._count_by_reply.get(reply, 0)
+    def count(self, reply: ServerReply) -> int:
+        """Return how many equal replies were received; each may be repeated once."""
+        return self._count_by_key[_key_of(reply)]
 
     def has_failure_like(self, reply: ServerReply) -> bool:
-        """Return whether the same failure was received, at any time and position."""
+        """Return whether the same failure was received, at any log position."""
         return (reply.failure, reply.detail) in self._failures
 
-    def _forget_old(self) -> None:
-        now_s = self._clock()
-        while self._recent and now_s - self._recent[0][0] >= REPETITION_LIMIT_S:
-            _, reply = self._recent.popleft()
-            self._count_by_reply[reply] -= 1
-            if not self._count_by_reply[reply]:
-                del self._count_by_reply[reply]
-
-
-_kept_kinds = frozenset({ReplyKind.RECEIPT, ReplyKind.STATUS, ReplyKind.STARTED})
-
 
-def _key_of(received: ReceivedReply) -> int:
-    if received.kind is ReplyKind.RECEIPT:
-        return hash(received.reply.receipt)
-    return hash(received.reply)
+def _key_of(reply: ServerReply) -> int:
+    return hash(reply.receipt or reply)
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import time
 from dataclasses import replace
 
 from pollencleat.core.data import BackendServer, Position, ServerStatus
@@ -54,7 +53,6 @@
         self._exchange = Exchange(
             self._send,
             self._make_barriers,
-            time.monotonic,
             record or RepetitionRecord(),
         )
         self._barrier_numbers = itertools.count(1)
