Statements: accept only texts that are run as sent

Blanks at the end of BEGIN, COMMIT, ROLLBACK and DEALLOCATE were dropped, so that a server ran "COMMIT" where a caller had sent "COMMIT "; "SET a" reached servers as "SET a " and could not be told from it; PREPARE took an empty name; a caller could use "-", the id of the proxy's own statements, so that a server took its text for one of them. Any Unicode blank was dropped from the position in a server's READY line.

The parser split a text, compared the parts and forgot what stood between them. It now compares texts without arguments as a whole and requires the blank before a value; what does not pass is refused with MALFORMED and not run. An empty value ("SET a ") stays possible.

--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -160,12 +160,14 @@
     state, _, position = fields.partition(" ")
     if state not in ("I", "T", "E"):
         raise BackendLostError(f"malformed READY line {fields[:40]!r}")
-    return ReadyLine(state != "I", parse_position(position.strip()))
+    return ReadyLine(state != "I", parse_position(position))
 
 
 def parse_statement(line: str) -> Statement:
     """Parse a caller's line.
 
+    A text is accepted only if the statement keeps every character of it.
+
     Args:
         line: The line without its line end.
 
@@ -179,32 +181,43 @@
     request_id, _, text = rest.partition(" ")
     if word != "QUERY" or not request_id or not text:
         raise MalformedStatementError(f"not a statement: {line[:60]!r}")
-    verb, _, arguments = text.partition(" ")
-    statement = _parse_verb(request_id, verb, arguments, text)
+    if request_id == PROXY_REQUEST_ID:
+        raise MalformedStatementError("not a request id of a caller")
+    verb, separator, arguments = text.partition(" ")
+    statement = _parse_plain(request_id, text)
+    if statement is None and separator:
+        statement = _parse_verb(request_id, verb, arguments, text)
     if statement is None:
         raise MalformedStatementError(f"not a statement: {text[:60]!r}")
     return statement
 
 
+def _parse_plain(request_id: str, text: str) -> Statement | None:
+    """Parse a statement without arguments of the caller's choice."""
+    if text in ("BEGIN", "BEGIN READ"):
+        return Begin(request_id, text != "BEGIN")
+    if text == "COMMIT":
+        return Commit(request_id)
+    if text == "ROLLBACK":
+        return Rollback(request_id)
+    return None
+
+
 def _parse_verb(
     request_id: str, verb: str, arguments: str, text: str
 ) -> Statement | None:
-    first, _, rest = arguments.partition(" ")
-    if verb == "BEGIN" and arguments in ("", "READ"):
-        return Begin(request_id, arguments == "READ")
-    if verb == "COMMIT" and not arguments:
-        return Commit(request_id)
-    if verb == "ROLLBACK" and not arguments:
-        return Rollback(request_id)
-    if verb == "READ" and first:
+    first, separator, rest = arguments.partition(" ")
+    if not first:
+        return None
+    if verb == "READ":
         return Work(request_id, Access.READ, "", text)
-    if verb == "WRITE" and first and rest:
+    if verb == "WRITE" and rest:
         return Work(request_id, Access.WRITE, "", text)
-    if verb == "EXECUTE" and first and rest:
+    if verb == "EXECUTE" and rest:
         return Work(request_id, None, first, rest)
-    if verb == "SET" and first:
+    if verb == "SET" and separator:
         return SetValue(request_id, first, rest)
-    if verb == "DEALLOCATE" and first and not rest:
+    if verb == "DEALLOCATE" and not separator:
         return Forget(request_id, first)
     access, _, shape = rest.partition(" ")
     if verb == "PREPARE" and shape and access in ("READ", "WRITE"):
--- a/pollencleat/platform/wire_test.py
+++ b/pollencleat/platform/wire_test.py
@@ -7,18 +7,30 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from pollencleat.core.errors import MalformedStatementError
+from pollencleat.core.errors import BackendLostError, MalformedStatementError
+from pollencleat.engine.statements import (
+    Begin,
+    Commit,
+    Forget,
+    Prepare,
+    Rollback,
+    SetValue,
+    Work,
+)
 from pollencleat.platform.wire import (
     MAX_LINE_BYTES,
     LineTooLongError,
     decode_line,
     encode_line,
+    parse_ready,
+    parse_statement,
     read_line,
 )
 
 ODD_CHARACTERS = "\r\n\0\t\x0b\x0c\x1c\x1d\x1e\x7f\x85\xa0\u2028\u2029\u3000\ufeff"
 TEXTS = st.text(st.sampled_from("ab " + ODD_CHARACTERS) | st.characters(codec="utf-8"))
 LINES = TEXTS.map(lambda text: text.replace("\r\n", "\rx\n"))
+FIELDS = LINES.map(lambda text: text.replace(" ", "_")).filter(bool)
 STREAMS = st.lists(st.sampled_from([b"\r", b"\n", b"\r\n", b" "]) | st.binary()).map(
     b"".join
 )
@@ -86,3 +98,130 @@
     for cut in range(len(stream)):
         with pytest.raises(LineTooLongError):
             asyncio.run(read_lines([stream[:cut], stream[cut:]], limit=16))
+
+
+def text_of(statement):
+    """Return the text that a statement stands for."""
+    match statement:
+        case Begin(read_only=True):
+            return "BEGIN READ"
+        case Work(prepared_name="", text=text):
+            return text
+        case Work(prepared_name=name, text=text):
+            return f"EXECUTE {name} {text}"
+        case SetValue(name=name, value=value):
+            return f"SET {name} {value}"
+        case Prepare(name=name, shape=shape):
+            return f"PREPARE {name} {shape.access.name} {shape.text}"
+        case Forget(name=name):
+            return f"DEALLOCATE {name}"
+    plain = {Begin: "BEGIN", Commit: "COMMIT", Rollback: "ROLLBACK"}
+    return plain[type(statement)]
+
+
+WORDS = "BEGIN READ WRITE COMMIT ROLLBACK SET PREPARE EXECUTE DEALLOCATE WAITFOR"
+NEAR_TEXTS = st.lists(
+    st.sampled_from([*WORDS.split(" "), " ", " ", " ", "a", "-", *ODD_CHARACTERS])
+).map("".join)
+
+
+@given(FIELDS, NEAR_TEXTS | LINES)
+@example("1", "COMMIT ")
+@example("1", "BEGIN ")
+@example("1", "BEGIN READ ")
+@example("1", "ROLLBACK ")
+@example("1", "SET a")
+@example("1", "SET a ")
+@example("1", "SET a  b ")
+@example("1", "PREPARE  READ x")
+@example("1", "PREPARE s READ  x ")
+@example("1", "DEALLOCATE s ")
+@example("1", "EXECUTE s  x ")
+@example("1", "READ x ")
+@example("1", "WRITE x  ")
+def test_statement_stands_for_exactly_the_text_that_was_sent(request_id, text):
+    """Blanks at the end were dropped; "SET a" was sent to servers as "SET a "."""
+    try:
+        statement = parse_statement(f"QUERY {request_id} {text}")
+    except MalformedStatementError:
+        return
+    assert (statement.request_id, text_of(statement)) == (request_id, text)
+
+
+@given(FIELDS.filter(lambda name: name != "-"), FIELDS, FIELDS, LINES)
+def test_statement_of_any_characters_keeps_its_text(request_id, name, item, last):
+    texts = [
+        f"READ {item}",
+        f"READ {item} {last}",
+        f"WRITE {item} x{last}",
+        f"SET {name} {last}",
+        f"PREPARE {name} WRITE x{last}",
+        f"EXECUTE {name} {item} {last}",
+        f"DEALLOCATE {name}",
+    ]
+    for text in texts:
+        statement = parse_statement(f"QUERY {request_id} {text}")
+        assert (statement.request_id, text_of(statement)) == (request_id, text)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "",
+        " ",
+        "\n",
+        "QUERY",
+        "QUERY ",
+        "QUERY 1",
+        "QUERY 1 ",
+        "QUERY  1 READ x",
+        "QUERY  READ x",
+        " QUERY 1 READ x",
+        "\nQUERY 1 READ x",
+        "\0QUERY 1 READ x",
+        "\ufeffQUERY 1 READ x",
+        "query 1 READ x",
+        "QUERY\t1 READ x",
+        "QUERY 1\x0bREAD x",
+        "QUERY 1 READ\x85x",
+        "QUERY 1 READ\u2028x",
+        "QUERY 1 READ  x",
+        "QUERY 1 READ",
+        "QUERY 1 READ ",
+        "QUERY 1 WRITE k",
+        "QUERY 1 WRITE k ",
+        "QUERY 1 COMMIT\r",
+        "QUERY 1 COMMIT ",
+        "QUERY 1 BEGIN\n",
+        "QUERY 1 BEGIN WRITE",
+        "QUERY 1 SET",
+        "QUERY 1 SET ",
+        "QUERY 1 SET a",
+        "QUERY 1 SET  b",
+        "QUERY 1 PREPARE  READ x",
+        "QUERY 1 PREPARE s  READ x",
+        "QUERY 1 PREPARE s READ\rx",
+        "QUERY 1 PREPARE s READ",
+        "QUERY 1 DEALLOCATE s t",
+        "QUERY 1 WAITFOR 1.1 READ x",
+        "QUERY 1 DISCARD",
+        "QUERY 1 STATUS",
+        "QUERY 1 STEPDOWN 9",
+        "TERMINATE now",
+    ],
+)
+def test_line_that_is_no_statement_is_refused(line):
+    with pytest.raises(MalformedStatementError):
+        parse_statement(line)
+
+
+@pytest.mark.parametrize("text", ["READ x", "WRITE k v", "SET a b", "COMMIT"])
+def test_callers_cannot_use_the_request_id_of_the_proxys_own_statements(text):
+    with pytest.raises(MalformedStatementError):
+        parse_statement(f"QUERY - {text}")
+
+
+@pytest.mark.parametrize("fields", ["I 3.1\x0b", "I 3.1 ", "I  3.1", "I -\u2028"])
+def test_ready_line_with_further_characters_is_malformed(fields):
+    with pytest.raises(BackendLostError):
+        parse_ready(fields)
