Callers' sessions: a line that is no text is refused, and the session goes on

Invalid UTF-8 in a complete line ended the session with TOOLARGE, without READY, and every line that began with TERMINATE ended it without an answer. The whole connection was served under one handler for unreadable lines, although the next line can be read after such a line, and the word was compared by its beginning.

The line is decoded where it is parsed, so that it is refused like any other that is no statement: one MALFORMED and READY. Only a line beyond the limit ends the session. Only the exact word TERMINATE does. A start that is no text is answered with MALFORMED.

--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -25,6 +25,7 @@
     decode_line,
     encode_line,
     format_position,
+    parse_startup,
     parse_statement,
     read_line,
 )
@@ -52,6 +53,9 @@
 
 TOO_LARGE_CODE = "TOOLARGE"
 
+END_LINE = b"TERMINATE"
+"""Line with which a caller ends its session."""
+
 _announcements_by_reason = {
     EndReason.STOPPING: "this node is stopping",
     EndReason.UNREADY: "this node is not ready",
@@ -93,13 +97,13 @@
             if data is None or self._is_end_announced:
                 return
             async with self._lock:
-                is_started = await self._start(decode_line(data))
+                is_started = await self._start(data)
             if not is_started:
                 return
             while await self._serve_next():
                 pass
-        except MalformedStatementError as error:
-            # After an unreadable line, the start of the next one is unknown.
+        except LineTooLongError as error:
+            # The start of the next line is unknown.
             self._write(encode_line("ERROR", TOO_LARGE_CODE, error.detail))
         finally:
             if self._leave_timer is not None:
@@ -108,11 +112,11 @@
                 async with self._lock:
                     await self.executor.close()
 
-    async def _start(self, line: str) -> bool:
-        word, _, rest = line.partition(" ")
-        database, _, account = rest.partition(" ")
-        if word != "STARTUP" or not database or not account:
-            self._write(encode_line("ERROR", "MALFORMED", "no start"))
+    async def _start(self, data: bytes) -> bool:
+        try:
+            database, account = parse_startup(decode_line(data))
+        except MalformedStatementError as error:
+            self._write(encode_line("ERROR", code_of_error(error), error.detail))
             return False
         await self._wait_until_joined()
         try:
@@ -145,20 +149,17 @@
 
     async def _serve_next(self) -> bool:
         data = await read_line(self._reader)
-        if data is None or data.startswith(b"TERMINATE"):
+        if data is None or data == END_LINE:
             return False
-        line = decode_line(data)
         if self._is_end_announced:
-            await self._refuse(line)
+            await self._refuse(data)
             return True
         self._last_used_s = self._access.clock()
         async with self._lock:
             try:
-                statement = parse_statement(line)
+                statement = parse_statement(decode_line(data))
                 self.request_id = statement.request_id
                 answer = await self.executor.execute(statement)
-            except LineTooLongError:
-                raise
             except CallerError as error:
                 self._write_error(error)
             else:
@@ -169,12 +170,13 @@
         await self._writer.drain()
         return not self._writer.is_closing()
 
-    async def _refuse(self, line: str) -> None:
+    async def _refuse(self, data: bytes) -> None:
         """Complete the answer to a request that was sent before the end was known.
 
         Its caller takes the error that announced the end as the answer.
         """
-        request_id = line.split(" ", 2)[1] if " " in line else ""
+        fields = data.decode(errors="replace").split(" ", 2)
+        request_id = fields[1] if len(fields) > 1 else ""
         self._access.metrics.count("request_refused_at_end")
         log.info("request refused", reason=self.end.reason, request=request_id)
         async with self._lock:
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -163,6 +163,25 @@
     return ReadyLine(state != "I", parse_position(position))
 
 
+def parse_startup(line: str) -> tuple[str, str]:
+    """Parse the line with which a caller starts its session.
+
+    Args:
+        line: The line without its line end.
+
+    Returns:
+        The name of the database and the client account.
+
+    Raises:
+        MalformedStatementError: The line starts no session.
+    """
+    word, _, rest = line.partition(" ")
+    database, _, account = rest.partition(" ")
+    if word != "STARTUP" or not database or not account:
+        raise MalformedStatementError("no start")
+    return database, account
+
+
 def parse_statement(line: str) -> Statement:
     """Parse a caller's line.
 
