Lines: fields that would be read as other fields are not sent

A field with CR LF became a line of its own, and an empty field or one with a blank shifted those behind it; text that is not UTF-8 raised an untyped error. Texts of callers cannot hold CR LF, but names come from the store, and rows and receipts also from other nodes. Callers saw the control characters of a database name, up to 1 MiB of it, in our ERROR line.

encode_line checks the whole line, where all fields meet, and raises UnsendableLineError, a NotSentError: nothing is sent. An answer to a caller is encoded as a whole before any of it is sent; if that fails, the outcome is INDOUBT. encode_startup also requires a server id. encode_error replaces what is not printable and cuts long texts off, so that an error can always be reported.

--- a/bench/line_bytes_test.py
+++ b/bench/line_bytes_test.py
@@ -178,10 +178,13 @@
         (b"STARTUP main-db\x0bteam", b"MALFORMED"),
         (b"\nSTARTUP main-db team", b"MALFORMED"),
         (b"", b"MALFORMED"),
-        (b"STARTUP main-dbs team", b"NODATABASE"),
+        (b"STARTUP main-db\r team", b"NODATABASE"),
+        (b"STARTUP no\rsuch\n\xe2\x80\xa8\xc2\x85\0 team", b"NODATABASE"),
+        (b"STARTUP " + b"x" * 600_000 + b" team", b"NODATABASE"),
     ],
 )
 async def test_refused_startup_is_answered_with_one_error_line(cluster, data, code):
+    """The name of the database came back with its control characters."""
     reader, writer = await asyncio.open_connection("127.0.0.1", cluster.port())
     writer.write(data + b"\r\n")
     answer = await reader.read()
--- a/pollencleat/platform/clients.py
+++ b/pollencleat/platform/clients.py
@@ -12,6 +12,7 @@
     PollencleatError,
     TransactionLostError,
     UnknownDatabaseError,
+    UnknownOutcomeError,
 )
 from pollencleat.core.sockets import write_bytes
 from pollencleat.engine.access import ServerAccess
@@ -21,8 +22,10 @@
 from pollencleat.engine.statements import Answer
 from pollencleat.platform.wire import (
     LineTooLongError,
+    UnsendableLineError,
     code_of_error,
     decode_line,
+    encode_error,
     encode_line,
     format_position,
     parse_startup,
@@ -104,7 +107,7 @@
                 pass
         except LineTooLongError as error:
             # The start of the next line is unknown.
-            self._write(encode_line("ERROR", TOO_LARGE_CODE, error.detail))
+            self._write(encode_error(TOO_LARGE_CODE, error.detail))
         finally:
             if self._leave_timer is not None:
                 self._leave_timer.cancel()
@@ -116,7 +119,7 @@
         try:
             database, account = parse_startup(decode_line(data))
         except MalformedStatementError as error:
-            self._write(encode_line("ERROR", code_of_error(error), error.detail))
+            self._write(encode_error(code_of_error(error), error.detail))
             return False
         await self._wait_until_joined()
         try:
@@ -130,10 +133,10 @@
                 inventory=self._access.board.inventory.version,
                 reason=error.detail,
             )
-            self._write(encode_line("ERROR", "NODATABASE", database))
+            self._write(encode_error("NODATABASE", database))
             return False
         except PollencleatError as error:
-            self._write(encode_line("ERROR", "BUSY", str(error)))
+            self._write(encode_error("BUSY", str(error)))
             return False
         self.executor = SessionExecutor(self._access, SessionState(database, account))
         self._write(encode_line("READY", "I", "-"))
@@ -160,10 +163,10 @@
                 statement = parse_statement(decode_line(data))
                 self.request_id = statement.request_id
                 answer = await self.executor.execute(statement)
+                lines = self._encode_answer(answer)
             except CallerError as error:
-                self._write_error(error)
-            else:
-                self._write_answer(answer)
+                lines = self._encode_error(error)
+            self._write(lines)
         self._last_used_s = self._access.clock()
         if self._is_finishing and not self.executor.is_in_transaction:
             self.announce_end(EndReason.STOPPING, SessionActivity.ANSWERED)
@@ -184,19 +187,20 @@
         self._write(self._ready_line("-"))
         self._write_announcement(self.end.reason)
 
-    def _write_answer(self, answer: Answer) -> None:
-        lines = [encode_line("DATAROW", row) for row in answer.rows]
-        lines.append(encode_line("COMPLETE", answer.receipt or "-"))
+    def _encode_answer(self, answer: Answer) -> bytes:
+        try:
+            lines = [encode_line("DATAROW", row) for row in answer.rows]
+            lines.append(encode_line("COMPLETE", answer.receipt or "-"))
+        except UnsendableLineError as error:
+            raise UnknownOutcomeError(str(error)) from error
         lines.append(self._ready_line(format_position(answer.position)))
-        self._write(b"".join(lines))
+        return b"".join(lines)
 
-    def _write_error(self, error: CallerError) -> None:
+    def _encode_error(self, error: CallerError) -> bytes:
         detail = error.detail
         if error.retry_after_ms is not None:
             detail = f"retry after {error.retry_after_ms} ms: {detail}"
-        self._write(
-            encode_line("ERROR", code_of_error(error), detail) + self._ready_line("-")
-        )
+        return encode_error(code_of_error(error), detail) + self._ready_line("-")
 
     def _write(self, data: bytes) -> None:
         write_bytes(self._writer, data)
@@ -268,7 +272,7 @@
         error: CallerError = DrainingError(_announcements_by_reason[reason])
         if self._is_in_transaction:
             error = TransactionLostError(error.detail)
-        self._write(encode_line("ERROR", code_of_error(error), error.detail))
+        self._write(encode_error(code_of_error(error), error.detail))
 
     def _close_after_last_read(self) -> None:
         loop = asyncio.get_running_loop()
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -22,6 +22,7 @@
     UnknownNameError,
     UnknownOutcomeError,
 )
+from pollencleat.engine.exchange import NotSentError
 from pollencleat.engine.statements import (
     Access,
     Begin,
@@ -45,6 +46,9 @@
 
 LINE_END = b"\r\n"
 
+MAX_DETAIL_CHARACTERS = 500
+"""Longest description in an ERROR line."""
+
 _failures_by_code = {
     "BUSY": ServerFailure.BUSY,
     "LAGGING": ServerFailure.BEHIND,
@@ -78,6 +82,10 @@
     """A line exceeds the protocol's limit, so nothing after it can be read."""
 
 
+class UnsendableLineError(NotSentError):
+    """Fields do not form one line that is read as the same fields."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadyLine:
     """The last line of a reply: transaction state and the server's log position."""
@@ -245,8 +253,66 @@
 
 
 def encode_line(*fields: str) -> bytes:
-    """Encode fields as a line with its line end."""
-    return " ".join(fields).encode() + LINE_END
+    """Encode fields as a line with its line end.
+
+    Args:
+        fields: The keyword and the fields; only the last one may be empty or contain
+            blanks.
+
+    Returns:
+        The line.
+
+    Raises:
+        UnsendableLineError: The receiver would read other fields or another line.
+    """
+    for field in fields[:-1]:
+        if not field or " " in field:
+            raise UnsendableLineError(f"no field of a line: {field[:60]!r}")
+    try:
+        line = " ".join(fields).encode() + LINE_END
+    except UnicodeEncodeError as error:
+        raise UnsendableLineError("the line is no text") from error
+    # Most lines contain one LF, and a search for one byte is much faster.
+    has_one_lf = line.find(b"\n") == len(line) - 1
+    if not has_one_lf and line.find(LINE_END) != len(line) - len(LINE_END):
+        raise UnsendableLineError("a field contains a line end")
+    return line
+
+
+def encode_startup(service: str, user: str, server_id: str) -> bytes:
+    """Encode the line that starts a session at a server.
+
+    Args:
+        service: The group's name.
+        user: Name of who connects.
+        server_id: The server's id.
+
+    Returns:
+        The line.
+
+    Raises:
+        UnsendableLineError: A field is empty or contains a blank or a line end.
+    """
+    if not server_id or " " in server_id:
+        raise UnsendableLineError(f"no field of a line: {server_id[:60]!r}")
+    return encode_line("STARTUP", service, user, server_id)
+
+
+def encode_error(code: str, detail: str) -> bytes:
+    """Encode an ERROR line, whatever text describes the error.
+
+    Args:
+        code: The protocol's code.
+        detail: Description; characters that are not printable are replaced, and what
+            exceeds MAX_DETAIL_CHARACTERS is cut off.
+
+    Returns:
+        The line.
+    """
+    detail = detail[:MAX_DETAIL_CHARACTERS]
+    if not detail.isprintable():
+        detail = "".join(item if item.isprintable() else "?" for item in detail)
+    return encode_line("ERROR", code, detail)
 
 
 async def read_line(reader: asyncio.StreamReader) -> bytes | None:
--- a/pollencleat/platform/wire_test.py
+++ b/pollencleat/platform/wire_test.py
@@ -18,10 +18,14 @@
     Work,
 )
 from pollencleat.platform.wire import (
+    MAX_DETAIL_CHARACTERS,
     MAX_LINE_BYTES,
     LineTooLongError,
+    UnsendableLineError,
     decode_line,
+    encode_error,
     encode_line,
+    encode_startup,
     parse_ready,
     parse_statement,
     read_line,
@@ -225,3 +229,40 @@
 def test_ready_line_with_further_characters_is_malformed(fields):
     with pytest.raises(BackendLostError):
         parse_ready(fields)
+
+
+@given(st.lists(TEXTS, min_size=1, max_size=4))
+@example(["STARTUP", "a\r\nQUERY 1 WRITE k v", "x"])
+@example(["DATAROW", "x\r\nREADY I -"])
+@example(["STARTUP", "", "x"])
+@example(["STARTUP", "a b", "x"])
+@example(["QUERY", "1", "READ x\r"])
+def test_encoded_line_is_read_as_the_same_fields_or_refused(fields):
+    """A field with a line end became a line of its own."""
+    try:
+        data = encode_line(*fields)
+    except UnsendableLineError:
+        shifts = any(not field or " " in field for field in fields[:-1])
+        assert shifts or "\r\n" in "".join(fields)
+        return
+    (line,) = asyncio.run(read_lines([data]))
+    assert decode_line(line).split(" ", len(fields) - 1) == fields
+
+
+@pytest.mark.parametrize("name", ["", " ", "a b", "a\r\nb", "\ud800"])
+def test_name_that_is_no_field_starts_no_session_at_a_server(name):
+    with pytest.raises(UnsendableLineError):
+        encode_startup(name, "pollencleat", "s-1")
+    with pytest.raises(UnsendableLineError):
+        encode_startup("books", "pollencleat", name)
+
+
+@given(st.text(max_size=700))
+@example("x\r\nREADY I -")
+@example("\ud800")
+@example("x" * MAX_LINE_BYTES)
+def test_error_line_is_sent_whatever_its_detail(detail):
+    (line,) = asyncio.run(read_lines([encode_error("BUSY", detail)]))
+    text = decode_line(line)
+    assert text.startswith("ERROR BUSY ") and text.isprintable()
+    assert len(text) <= len("ERROR BUSY ") + MAX_DETAIL_CHARACTERS
