--- a/bench/line_bytes_test.py
+++ b/bench/line_bytes_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bench.platform_cluster import LineClient, PlatformCluster
+from pollencleat.limits.shares import connections_allowed
 
 ODD_TEXTS = [
     "a\0b",
@@ -27,6 +28,9 @@
     "a\rQUERY 1 WRITE k v\r",
 ]
 PROBE_S = 0.05
+GATEWAY_NODES = 6
+CONNECTIONS = 12
+JOIN_LIMIT_S = 8.0
 
 
 @pytest.fixture
@@ -56,9 +60,8 @@
         return False
 
 
-@pytest.mark.parametrize("chunk_bytes", [0, 1])
-async def test_texts_of_odd_characters_run_unchanged(cluster, chunk_bytes):
-    client = await cluster.connect("main-db")
+async def run_odd_texts(cluster, client, chunk_bytes=0):
+    """Run every kind of statement and check that the server got what was sent."""
     for number, text in enumerate(ODD_TEXTS):
         key = f"k{number}"
         shape = f"shape{text}"
@@ -73,7 +76,7 @@
         for request_id, sent in zip(request_ids, texts, strict=True):
             data = f"QUERY {request_id} {sent}".encode()
             answer = await send_bytes(client, data, chunk_bytes)
-            assert not answer.error and answer.state == "I", sent
+            assert not answer.error and answer.state == "I", (sent, answer)
         assert answer.rows == (text,)
         runs = {run.request_id: run for run in cluster.group.executed_statements}
         assert runs[request_ids[0]].text == texts[0]
@@ -85,6 +88,62 @@
     assert not await has_further_answer(client)
 
 
+@pytest.mark.parametrize("chunk_bytes", [0, 1])
+async def test_texts_of_odd_characters_run_unchanged(cluster, chunk_bytes):
+    await run_odd_texts(cluster, await cluster.connect("main-db"), chunk_bytes)
+
+
+async def test_texts_of_odd_characters_run_unchanged_through_gateways():
+    cluster = PlatformCluster(GATEWAY_NODES, connection_limit=CONNECTIONS)
+    try:
+        await cluster.start()
+        async with asyncio.timeout(JOIN_LIMIT_S):
+            while not (number := find_node_without_connections(cluster)):
+                await asyncio.sleep(0.02)
+        client = await cluster.connect("main-db", number)
+        await run_odd_texts(cluster, client)
+        await run_odd_texts_in_transactions(cluster, client)
+        pools = cluster.nodes[number].access.pools.pools_by_server.values()
+        assert all(pool.open_count == 0 for pool in pools)
+    finally:
+        await cluster.stop()
+
+
+def find_node_without_connections(cluster):
+    """Return the number of a node that borrows connections, or 0 while none does.
+
+    The first node is not considered.
+    """
+    primary_id = cluster.group.servers[0].server_id
+    for number, node in enumerate(cluster.nodes[1:], start=1):
+        has_all_joined = len(node.board.fleet.members_by_id) == GATEWAY_NODES
+        if has_all_joined and not connections_allowed(node.board, primary_id):
+            pools = node.access.pools.pools_by_server.values()
+            if all(pool.open_count == 0 for pool in pools):
+                return number
+    return 0
+
+
+async def run_odd_texts_in_transactions(cluster, client):
+    for text in ODD_TEXTS:
+        request_id = client.next_id()
+        assert not (await client.query("BEGIN")).error
+        assert not (await client.query(f"SET v {text}")).error
+        assert not (await client.query(f"PREPARE s WRITE shape{text}")).error
+        assert not (await client.send(request_id, f"EXECUTE s k {text}")).error
+        assert (await client.query("READ k")).rows == (text,)
+        assert (await client.query("COMMIT")).receipt
+        (run,) = (
+            run
+            for run in cluster.group.executed_statements
+            if run.request_id == request_id
+        )
+        assert run.in_transaction
+        assert run.text.split(" ", 2)[2] == f"k {text}"
+        assert run.shape == f"WRITE shape{text}"
+        assert run.values == (("v", text),)
+
+
 async def test_empty_session_value_is_set(cluster):
     client = await cluster.connect("main-db")
     assert not (await client.query("SET v x")).error
