Lines: a line beyond the limit is not sent

A caller's EXECUTE of nearly 1 MiB grew beyond the limit by the proxy's longer name of the statement. It was sent all the same, the server closed the connection, and the caller got INDOUBT. encode_line refuses such a line: nothing is sent, and the caller gets BUSY.

Evidence: the two tests added here fail without the check (INDOUBT instead of BUSY).

--- a/bench/line_bytes_test.py
+++ b/bench/line_bytes_test.py
@@ -6,6 +6,7 @@
 
 from bench.platform_cluster import LineClient, PlatformCluster
 from pollencleat.limits.shares import connections_allowed
+from pollencleat.platform.wire import MAX_LINE_BYTES
 
 ODD_TEXTS = [
     "a\0b",
@@ -218,6 +219,24 @@
     assert cluster.group.malformed_lines == []
 
 
+async def test_largest_text_runs_and_one_that_grows_beyond_the_limit_does_not(cluster):
+    """A statement whose new name made it too long was sent, with unknown outcome."""
+    client = await cluster.connect("main-db")
+    request_id = client.next_id()
+    head = f"QUERY {request_id} WRITE k "
+    data = "x" * (MAX_LINE_BYTES - len(head))
+    answer = await client.send(request_id, f"WRITE k {data}")
+    assert answer.receipt.endswith(request_id)
+    assert (await client.query("READ k")).rows == (data,)
+    assert not (await client.query("PREPARE s WRITE x")).error
+    data = "x" * (MAX_LINE_BYTES - len(head.replace("WRITE", "EXECUTE s")))
+    request_id = client.next_id()
+    answer = await client.send(request_id, f"EXECUTE s k {data}")
+    assert answer.error == "BUSY" and answer.state == "I"
+    assert request_id not in cluster.group.received_request_ids
+    assert not (await client.query("EXECUTE s k small")).error
+
+
 async def test_terminate_ends_the_session(cluster):
     client = await cluster.connect("main-db")
     client.writer.write(b"TERMI")
--- a/pollencleat/platform/wire.py
+++ b/pollencleat/platform/wire.py
@@ -263,7 +263,8 @@
         The line.
 
     Raises:
-        UnsendableLineError: The receiver would read other fields or another line.
+        UnsendableLineError: The receiver would read other fields or another line, or
+            the line exceeds the limit.
     """
     for field in fields[:-1]:
         if not field or " " in field:
@@ -272,6 +273,8 @@
         line = " ".join(fields).encode() + LINE_END
     except UnicodeEncodeError as error:
         raise UnsendableLineError("the line is no text") from error
+    if len(line) > MAX_LINE_BYTES + len(LINE_END):
+        raise UnsendableLineError("the line is too long")
     # Most lines contain one LF, and a search for one byte is much faster.
     has_one_lf = line.find(b"\n") == len(line) - 1
     if not has_one_lf and line.find(LINE_END) != len(line) - len(LINE_END):
--- a/pollencleat/platform/wire_test.py
+++ b/pollencleat/platform/wire_test.py
@@ -249,6 +249,17 @@
     assert decode_line(line).split(" ", len(fields) - 1) == fields
 
 
+def test_line_beyond_the_limit_is_not_sent():
+    """A prepared statement is renamed, so that a text of the largest size may grow."""
+    text = "x" * (MAX_LINE_BYTES - len("QUERY 1 "))
+    (line,) = asyncio.run(read_lines([encode_line("QUERY", "1", text)]))
+    assert len(line) == MAX_LINE_BYTES
+    with pytest.raises(UnsendableLineError):
+        encode_line("QUERY", "1", text + "x")
+    with pytest.raises(UnsendableLineError):
+        encode_line("QUERY", "1", text[:-1] + "é")
+
+
 @pytest.mark.parametrize("name", ["", " ", "a b", "a\r\nb", "\ud800"])
 def test_name_that_is_no_field_starts_no_session_at_a_server(name):
     with pytest.raises(UnsendableLineError):
