--- a/bench/quiet_group_test.py
+++ b/bench/quiet_group_test.py
@@ -65,7 +65,7 @@
             answer = await client.query(text)
             if answer.error:
                 break
-        outcomes[answer.error] += 1
+        outcomes[f"{answer.error} {answer.detail}".strip()] += 1
         if answer.state != "I":
             await client.query("ROLLBACK")
         await asyncio.sleep(PAUSE_S)
--- a/pollencleat/platform/reply_parser.py
+++ b/pollencleat/platform/reply_parser.py
@@ -48,6 +48,8 @@
             end = self._buffer.find(LINE_END, max(start, self._scanned))
             if end < 0:
                 break
+            if end - start > MAX_LINE_BYTES:
+                raise BackendLostError("the line is too long")
             reply = self._add_line(bytes(self._buffer[start:end]))
             if reply is not None:
                 replies.append(reply)
@@ -56,7 +58,7 @@
         del self._buffer[:start]
         # The last byte may be the first of a line end.
         self._scanned = max(0, len(self._buffer) - 1)
-        if len(self._buffer) > MAX_LINE_BYTES:
+        if len(self._buffer) > MAX_LINE_BYTES + len(LINE_END) - 1:
             raise BackendLostError("the line is too long")
         return replies
 
@@ -83,7 +85,7 @@
         elif word == "ERROR":
             code, _, detail = rest.partition(" ")
             self._failure = failure_of_code(code)
-            self._detail = f"{code} {detail}".strip()
+            self._detail = f"{code} {detail}".rstrip(" ")
         elif word == "READY":
             return self._make_reply(rest)
         else:
--- a/pollencleat/platform/reply_parser_test.py
+++ b/pollencleat/platform/reply_parser_test.py
@@ -65,6 +65,16 @@
     assert len(parser.feed(b"READY I 3.4\r\nD")) == 1 and parser.is_inside_reply
 
 
+@pytest.mark.parametrize("cut", [10, MAX_LINE_BYTES, MAX_LINE_BYTES + 1])
+def test_row_of_just_the_limit_is_accepted_however_it_is_split(cut):
+    """It was refused if its CR came before its LF."""
+    row = "x" * (MAX_LINE_BYTES - len("DATAROW "))
+    data = READ.format(row).encode()
+    parser = ReplyParser()
+    received = [*parser.feed(data[:cut]), *parser.feed(data[cut:])]
+    assert received[0].reply.rows == (row,)
+
+
 def test_refused_start_ends_without_a_ready_line():
     parser = ReplyParser()
     assert parser.feed(b"ERROR TOOMANY\r\n") == []
@@ -81,7 +91,8 @@
         b"DATAROW x\r\nREADY I 3.4\r\n",
         b"DATAROW \xff\r\n",
         b"\r\n",
-        b"x" * (MAX_LINE_BYTES + 1),
+        b"x" * (MAX_LINE_BYTES + 2),
+        b"DATAROW " + b"x" * (MAX_LINE_BYTES - 7) + b"\r\n",
     ],
 )
 def test_bytes_that_are_no_reply_are_rejected(data):
--- a/pollencleat/platform/servers.py
+++ b/pollencleat/platform/servers.py
@@ -27,6 +27,7 @@
 from pollencleat.platform.wire import (
     PROXY_REQUEST_ID,
     encode_line,
+    encode_startup,
     format_position,
     is_decimal_number,
     parse_position,
@@ -134,7 +135,7 @@
             BackendError: The server refused, or the connection broke.
         """
         reply = await self._request(
-            encode_line("STARTUP", service, USER, server_id),
+            encode_startup(service, USER, server_id),
             Expectation(ReplyKind.STARTED, False),
         )
         if reply.failure is ServerFailure.TOO_MANY:
@@ -304,7 +305,7 @@
     Raises:
         BackendLostError: The row is malformed.
     """
-    fields = row.split()
+    fields = row.split(" ")
     if len(fields) < MIN_STATUS_FIELDS or not is_decimal_number(fields[1]):
         raise BackendLostError(f"malformed status row {row[:60]!r}")
     received = parse_position(fields[2]) or Position(0, 0)
