MySQL wire: no command is sent over packets that nobody has read

Callers of the MySQL side got the answer of an earlier statement: a server's second answer lay unread on a pooled connection, is_usable looked only at the end of the stream, and the first packet of any answer has sequence number 1. A status read took the former status row for the new one. A packet out of sequence raised a ValueError from run(), and the connection stayed usable.

A command is sent only if nothing has been received since the last complete answer, neither by the driver nor by the operating system; everything else ends the connection. An answer that arrives after the next command was sent cannot be told from the right one: the protocol has no request number.

--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -17,7 +17,7 @@
     BackendRefusedError,
     FailedError,
 )
-from pollencleat.core.sockets import CONNECT_ERRORS
+from pollencleat.core.sockets import CONNECT_ERRORS, has_unread_input
 
 CONNECT_TIMEOUT_S = 2
 OK_HEADER = 0x00
@@ -172,9 +172,23 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the connection is not known to be closed; valid between commands."""
+        """Whether a command may be sent; valid between commands.
+
+        Packets that arrive without a command may belong to an earlier one; those after
+        them can then be assigned to none.
+        """
         protocol = self._proto
-        return self.connected and protocol is not None and not protocol.eof
+        if not self.connected or protocol is None or protocol.eof:
+            return False
+        if protocol.length != protocol.pos or self._transport.is_closing():
+            return False
+        return not has_unread_input(self._transport)
+
+    def _require_usable(self) -> None:
+        if self.is_usable:
+            return
+        self.close()
+        raise BackendLostError("closed, or packets that belong to no command")
 
     def pause_reading(self) -> None:
         """Stop reading from the server while the client does not read its response."""
@@ -200,8 +214,9 @@
 
         Raises:
             BackendLostError: The connection broke; the command may have been sent in
-                part.
+                part.  Or it was not usable, and nothing was sent.
         """
+        self._require_usable()
         try:
             await self._execute_command(command, body)
         except (asyncmy.errors.MySQLError, OSError) as error:
@@ -219,6 +234,7 @@
         try:
             packet = await self.read_packet(RawPacket)
         except (asyncmy.errors.MySQLError, OSError) as error:
+            self.close()
             raise BackendLostError(str(error)) from error
         return packet.data
 
@@ -259,14 +275,20 @@
 
         Raises:
             BackendStatementError: The server answered with an error packet.
-            BackendLostError: The connection broke.
+            BackendLostError: The connection broke, or the response violates the
+                protocol.
         """
+        self._require_usable()
         try:
             await self.query(sql)
         except (asyncmy.errors.InterfaceError, OSError) as error:
+            self.close()
             raise BackendLostError(str(error)) from error
         except asyncmy.errors.MySQLError as error:
-            if not error.args or error.args[0] in CLIENT_SIDE_CODES:
+            # The driver's own errors have a text or one of these codes.
+            code = error.args[0] if error.args else 0
+            if not isinstance(code, int) or code in CLIENT_SIDE_CODES:
+                self.close()
                 raise BackendLostError(str(error)) from error
             raise BackendStatementError(make_error_packet(error)) from error
         result = self._result
--- /dev/null
+++ b/pollencleat/backend/connection_test.py
@@ -0,0 +1,158 @@
+"""Connections to a server whose packets do not match the commands sent to it."""
+
+import asyncio
+
+import pytest
+
+from pollencleat.backend import operations
+from pollencleat.backend.connection import QUERY_COMMAND, open_connection
+from pollencleat.backend.monitor import ServerMonitor
+from pollencleat.backend.pool import Credentials
+from pollencleat.core.data import BackendServer
+from pollencleat.core.errors import BackendError, BackendLostError
+
+GREETING = (
+    b"\x0a8.0.36\0"
+    + (7).to_bytes(4, "little")
+    + b"saltsalt\0"
+    + (0xF7FF).to_bytes(2, "little")
+    + b"\x21\x02\x00"
+    + (0x0008).to_bytes(2, "little")
+    + b"\x15"
+    + bytes(10)
+    + b"saltsaltsalt\0"
+    + b"mysql_native_password\0"
+)
+OK_PAYLOAD = b"\x00\x01\x00\x02\x00\x00\x00"
+EOF_PAYLOAD = b"\xfe\x00\x00\x02\x00"
+
+
+def make_packets(*payloads, sequence=1):
+    return b"".join(
+        len(payload).to_bytes(3, "little") + bytes([sequence + number]) + payload
+        for number, payload in enumerate(payloads)
+    )
+
+
+def make_rows(*values):
+    """Return the answer to a query: one row of texts."""
+    column = b"\x03def\0\0\0\x01c\x01c\x0c\x21\0\xff\0\0\0\xfd\0\0\0\0\0"
+    row = b"".join(bytes([len(value)]) + value for value in values)
+    count = len(values)
+    return make_packets(
+        bytes([count]), *[column] * count, EOF_PAYLOAD, row, EOF_PAYLOAD
+    )
+
+
+OK_ANSWER = make_packets(OK_PAYLOAD)
+
+
+class ScriptedServer:
+    """Answers each command with the next entry of a script, which are raw bytes."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.commands = []
+        self.connections = 0
+        self.writers = []
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *error):
+        self._server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def connect(self):
+        return await open_connection("127.0.0.1", self.port, "u", "p", "")
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self.writers.append(writer)
+        writer.write(make_packets(GREETING, sequence=0))
+        try:
+            await self._read_packet(reader)
+            writer.write(make_packets(OK_PAYLOAD, sequence=2))
+            while True:
+                self.commands.append(await self._read_packet(reader))
+                writer.write(self.script.pop(0))
+        except (asyncio.IncompleteReadError, ConnectionError, IndexError):
+            writer.close()
+
+    async def _read_packet(self, reader):
+        header = await reader.readexactly(4)
+        return await reader.readexactly(int.from_bytes(header[:3], "little"))
+
+
+async def test_connection_with_unread_packets_is_not_usable():
+    """Its second answer was taken for the answer to the next user's statement."""
+    async with ScriptedServer(OK_ANSWER + OK_ANSWER, make_rows(b"mine")) as server:
+        connection = await server.connect()
+        await connection.run("UPDATE t SET a = 1")
+        await asyncio.sleep(0.05)
+        assert not connection.is_usable
+        connection.close()
+
+
+@pytest.mark.parametrize("is_raw", [False, True])
+async def test_nothing_is_sent_on_a_connection_with_unread_packets(is_raw):
+    async with ScriptedServer(make_rows(b"1") * 2, make_rows(b"2")) as server:
+        connection = await server.connect()
+        assert await connection.run("SELECT 1") == [("1",)]
+        await asyncio.sleep(0.05)
+        with pytest.raises(BackendLostError):
+            if is_raw:
+                await connection.send_command(QUERY_COMMAND, b"SELECT 2")
+            else:
+                await connection.run("SELECT 2")
+        assert len(server.commands) == 1
+        assert not connection.connected
+
+
+async def test_packets_that_the_event_loop_has_not_read_yet_are_noticed():
+    async with ScriptedServer(OK_ANSWER, make_rows(b"mine")) as server:
+        connection = await server.connect()
+        await connection.run("UPDATE t SET a = 1")
+        server.writers[0].write(OK_ANSWER)
+        with pytest.raises(BackendLostError):
+            await connection.run("SELECT 'mine'")
+        assert len(server.commands) == 1
+
+
+@pytest.mark.parametrize("is_raw", [False, True])
+async def test_answer_out_of_sequence_ends_the_connection(is_raw):
+    """It raised a ValueError, and the connection could be used again."""
+    async with ScriptedServer(make_packets(OK_PAYLOAD, sequence=3)) as server:
+        connection = await server.connect()
+        with pytest.raises(BackendLostError):
+            if is_raw:
+                await connection.send_command(QUERY_COMMAND, b"SELECT 1")
+                await connection.read_raw()
+            else:
+                await connection.run("SELECT 1")
+        assert not connection.is_usable
+
+
+async def test_status_is_not_read_from_an_unread_answer():
+    """The second answer to a status request was taken for that to the next."""
+    old = make_rows(b"1", b"5", b"5", b"1", b"0", b"")
+    new = make_rows(b"2", b"9", b"9", b"2", b"1", b"other")
+    async with ScriptedServer(old + old, new) as server:
+        backend = BackendServer("s", "g", "127.0.0.1", server.port, "d", 2, 30)
+        monitor = ServerMonitor(backend, Credentials("u", "p"))
+        assert (await monitor.read_status()).term == 1
+        await asyncio.sleep(0.05)
+        assert (await monitor.read_status()).term == 2
+        assert server.connections == 2
+        monitor.close()
+
+
+async def test_result_of_another_statement_is_an_error_of_the_connection():
+    async with ScriptedServer(OK_ANSWER) as server:
+        connection = await server.connect()
+        with pytest.raises(BackendError):
+            await operations.read_position(connection)
+        connection.close()
--- a/pollencleat/core/sockets.py
+++ b/pollencleat/core/sockets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 
 TCP_USER_TIMEOUT_MS = 3_000
@@ -55,6 +56,23 @@
     return True
 
 
+def has_unread_input(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the remote end has sent something that was not received yet.
+
+    Args:
+        transport: An open connection between two requests.
+
+    Returns:
+        True if bytes, the end of the stream or an error wait in the operating system.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def configure_socket(writer: asyncio.StreamWriter) -> None:
     """Set socket options so that an unresponsive remote end closes the connection.
 
