MySQL wire: an error within a result set is forwarded once

A caller whose write returned a result set that the server ended with an error received that error packet and then a second one (unknown outcome). The caller's driver took the second one for the answer to its next command.

The forwarded error packet is the answer; the connection is closed instead of kept.

--- a/pollencleat/callers/writes.py
+++ b/pollencleat/callers/writes.py
@@ -92,11 +92,11 @@
         command: The command to send to the server.
 
     Returns:
-        The result, or None if a result set was forwarded.
+        The result, or None if a result set was forwarded, with an error at its end if
+        the server sent one.
 
     Raises:
         BackendStatementError: The server refused the write.
-        BackendLostError: The result set ended with an error.
     """
     answer = await request_answer(lease, command, ANSWER_START_TIMEOUT_S)
     if answer.is_error:
@@ -104,7 +104,8 @@
     if answer.is_result_set:
         status = await forward_answer(context, answer, lease)
         if status is None:
-            raise BackendLostError("the result set ended with an error")
+            # The caller has the error packet; whether a transaction is open is unknown.
+            lease.connection.close()
         return None
     await acknowledge(context, term, lease)
     return StatementResult(
