HTTP client: no answer is taken that may belong to another request

Reads of the store and the promotion call could get another call's answer: a second answer in the same read as the first changed the first one's headers (the store's era) and the connection was kept; a 1xx answer was taken for the answer, and the real one for the next call's; an answer that lay unread, or that a server sent first, was taken for that to the request sent after it.

Bytes that were received before a request is sent, by us or only by the operating system, or after a complete answer, end the connection. If two answers arrive together on a connection that has carried an earlier request, neither is taken: a read is sent once more on a new connection, a change has an unknown outcome.

--- a/pollencleat/web/client.py
+++ b/pollencleat/web/client.py
@@ -1,7 +1,10 @@
 """HTTP client with persistent connections.
 
-A request is sent once.  Only a read may be sent a second time, and only if the server
-closed a reused connection before it answered anything.
+A request is sent once.  Only a read may be sent a second time, and only if a reused
+connection was closed before an answer, or had bytes that may answer an earlier request.
+
+An answer names no request.  Bytes that arrive before a request is sent or after its
+complete answer therefore end the connection.
 """
 
 import asyncio
@@ -11,7 +14,11 @@
 import httptools
 
 from pollencleat.core.errors import PollencleatError
-from pollencleat.core.sockets import CONNECT_ERRORS, configure_socket
+from pollencleat.core.sockets import (
+    CONNECT_ERRORS,
+    configure_socket,
+    has_unread_input,
+)
 
 IDLE_CONNECTION_TIMEOUT_S = 30.0
 """Seconds after which an unused connection is no longer reused."""
@@ -20,6 +27,10 @@
 """Largest body of a response."""
 
 READ_METHOD = "GET"
+FINAL_STATUS = 200
+"""Lowest status of a final response; those below announce one."""
+
+SWITCHING_PROTOCOLS = 101
 
 
 class HttpError(PollencleatError):
@@ -27,7 +38,11 @@
 
 
 class _ConnectionResetError(HttpError):
-    """The server closed the connection before it answered anything."""
+    """The connection was closed before the server answered anything."""
+
+
+class _AmbiguousAnswerError(HttpError):
+    """Two answers on a reused connection; either may belong to an earlier request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +70,17 @@
         self._partial = _PartialResponse()
         self._response: asyncio.Future[HttpResponse] | None = None
         self._is_answer_started = False
+        self._complete: HttpResponse | None = None
+        self._has_extra_bytes = False
+        self._keeps_alive = True
+        self._requests = 0
 
     @property
     def is_usable(self) -> bool:
-        """Whether another request may be sent on the connection."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Whether a request may be sent: nothing arrived since the last answer."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return not has_unread_input(self._transport)
 
     def close(self) -> None:
         """Close the connection at once; an answer that is under way is lost."""
@@ -70,8 +91,14 @@
         """Send a request and wait for its response.
 
         Raises:
-            HttpError: The connection ended first, or the response is malformed.
+            HttpError: The connection ended first, or the response is malformed or
+                cannot be assigned.
         """
+        if not self.is_usable:
+            raise _ConnectionResetError("closed, or bytes that belong to no request")
+        self._requests += 1
+        self._complete = None
+        self._has_extra_bytes = False
         self._parser = httptools.HttpResponseParser(self)
         self._partial = _PartialResponse()
         self._is_answer_started = False
@@ -94,13 +121,28 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(HttpError(f"malformed response: {error}"))
-            self.close()
-            return
-        if len(self._partial.body) > MAX_BODY_BYTES:
+            if self._complete is None:
+                self._fail(HttpError(f"malformed response: {error}"))
+                self.close()
+                return
+            self._has_extra_bytes = True
+        if self._complete is not None:
+            self._end_exchange(self._complete)
+        elif len(self._partial.body) > MAX_BODY_BYTES:
             self._fail(HttpError("response too large"))
             self.close()
 
+    def _end_exchange(self, response: HttpResponse) -> None:
+        """Pass the response on unless it may answer an earlier request."""
+        if self._has_extra_bytes and self._requests > 1:
+            self._fail(_AmbiguousAnswerError("more than one answer"))
+        else:
+            self._response.set_result(response)
+        if self._has_extra_bytes:
+            self.close()
+        elif not self._keeps_alive:
+            self._transport.close()
+
     def connection_lost(self, error: Exception | None) -> None:
         reason = str(error) if error else "connection closed"
         kind = HttpError if self._is_answer_started else _ConnectionResetError
@@ -112,23 +154,33 @@
 
     # Callbacks of the parser.
 
+    def on_message_begin(self) -> None:
+        self._has_extra_bytes = self._complete is not None
+
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._complete is not None:
+            return
         self._partial.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_body(self, body: bytes) -> None:
-        self._partial.body += body
+        if self._complete is None:
+            self._partial.body += body
 
     def on_message_complete(self) -> None:
-        if self._response.done():
+        if self._complete is not None:
             return
-        if not self._parser.should_keep_alive():
-            self._transport.close()
-        self._response.set_result(
-            HttpResponse(
-                self._parser.get_status_code(),
-                self._partial.headers,
-                bytes(self._partial.body),
-            )
+        status = self._parser.get_status_code()
+        if status == SWITCHING_PROTOCOLS:
+            self._fail(HttpError("the server switches to another protocol"))
+            self.close()
+            return
+        if status < FINAL_STATUS:
+            self._partial = _PartialResponse()
+            return
+        # The parser knows this only while it is in this callback.
+        self._keeps_alive = self._parser.should_keep_alive()
+        self._complete = HttpResponse(
+            status, self._partial.headers, bytes(self._partial.body)
         )
 
 
@@ -183,7 +235,7 @@
             return await self._exchange(await self._open(), message)
         try:
             return await self._exchange(connection, message)
-        except _ConnectionResetError:
+        except (_ConnectionResetError, _AmbiguousAnswerError):
             if method != READ_METHOD:
                 raise
         return await self._exchange(await self._open(), message)
--- a/pollencleat/web/client_test.py
+++ b/pollencleat/web/client_test.py
@@ -20,6 +20,7 @@
         self.script = list(script)
         self.requests = []
         self.connections = 0
+        self.writers = []
         self._server = None
 
     async def __aenter__(self):
@@ -34,6 +35,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         while True:
             try:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -115,6 +117,76 @@
         assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
 
 
+SECOND_ANSWER = OK_ANSWER.replace(b"ok", b"no").replace(b"Era: 3", b"Era: 9")
+
+
+@pytest.mark.parametrize("extra", [SECOND_ANSWER, SECOND_ANSWER[:30], b"\0", b"\r\n"])
+async def test_bytes_after_a_first_answer_change_nothing_and_end_the_connection(extra):
+    """The headers of the second answer were taken for those of the first."""
+    async with ScriptedServer(OK_ANSWER + extra, OK_ANSWER) as server:
+        answer = await server.client.request("GET", "/a", 1.0)
+        assert answer.body == b"ok" and answer.headers["store-era"] == "3"
+        await server.client.request("GET", "/b", 1.0)
+        assert server.connections == (1 if extra == b"\r\n" else 2)
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+async def test_of_two_answers_at_once_on_a_kept_connection_none_is_taken(method):
+    """The first may be the second answer to an earlier request."""
+    script = (OK_ANSWER, SECOND_ANSWER + OK_ANSWER, OK_ANSWER)
+    async with ScriptedServer(*script) as server:
+        await server.client.request("GET", "/a", 1.0)
+        if method == "GET":
+            assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+            assert server.connections == 2
+            return
+        with pytest.raises(HttpError):
+            await server.client.request("PUT", "/b", 1.0, b"{}")
+        assert len(server.requests) == 2
+
+
+@pytest.mark.parametrize("status", [b"100 Continue", b"103 Early Hints"])
+async def test_interim_answer_is_not_taken_for_the_answer(status):
+    interim = b"HTTP/1.1 " + status + b"\r\nStore-Era: 9\r\n\r\n"
+    async with ScriptedServer(interim * 2 + OK_ANSWER, OK_ANSWER) as server:
+        answer = await server.client.request("GET", "/a", 1.0)
+        assert (answer.status, answer.headers["store-era"]) == (200, "3")
+        assert (await server.client.request("GET", "/b", 1.0)).status == 200
+        assert server.connections == 1
+
+
+async def test_change_of_protocol_is_an_error():
+    switch = b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+    async with ScriptedServer(switch, OK_ANSWER) as server:
+        with pytest.raises(HttpError):
+            await server.client.request("GET", "/a", 0.3)
+        assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+
+
+async def test_answer_that_waits_before_a_request_is_sent_is_not_taken_for_its_answer():
+    """The event loop has not read it yet, so that the connection looked idle."""
+    async with ScriptedServer(OK_ANSWER, OK_ANSWER) as server:
+        await server.client.request("GET", "/a", 1.0)
+        server.writers[0].write(SECOND_ANSWER)
+        assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+async def test_answer_of_a_server_that_speaks_first_is_not_taken(method):
+    async def speak(reader, writer):
+        writer.write(SECOND_ANSWER)
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(speak, "127.0.0.1", 0)
+    client = HttpClient("127.0.0.1", listener.sockets[0].getsockname()[1])
+    with pytest.raises(HttpError):
+        await client.request(method, "/a", 0.5)
+    client.close()
+    listener.close()
+
+
 async def test_close_fails_requests_that_are_under_way():
     async with ScriptedServer(5.0) as server:
         request = asyncio.create_task(server.client.request("GET", "/a", 9.0))
