HTTP client: a line end in a path or header sends nothing

A path or header with CR LF (a node's name goes into a header) was sent as it is, so that the server saw a second request, whose answer was taken for that to the next one.

Evidence: 4 of 4 cases of test_line_end_in_a_request_sends_nothing failed before and pass now. A request with a character that is not printable is an error before it is sent.

--- a/pollencleat/web/client.py
+++ b/pollencleat/web/client.py
@@ -277,6 +277,10 @@
     def _encode(
         self, method: str, path: str, body: bytes, headers: Mapping[str, str]
     ) -> bytes:
+        if any(not character.isprintable() or character == " " for character in path):
+            raise HttpError(f"not a path: {path!r}")
+        if any(not text.isprintable() for item in headers.items() for text in item):
+            raise HttpError(f"not headers: {headers!r}")
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self._host}:{self._port}"]
         if body:
             lines.append("Content-Type: application/json")
--- a/pollencleat/web/client_test.py
+++ b/pollencleat/web/client_test.py
@@ -187,6 +187,23 @@
     listener.close()
 
 
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/a HTTP/1.1\r\nHost: b\r\n\r\nGET /b", {}),
+        ("/a\n", {}),
+        ("/a", {"Duty-Holder": "n\r\n\r\nGET /b HTTP/1.1"}),
+        ("/a", {"Duty\nHolder": "n"}),
+    ],
+)
+async def test_line_end_in_a_request_sends_nothing(path, headers):
+    """It would send a second request, whose answer would be the next one's."""
+    async with ScriptedServer(OK_ANSWER) as server:
+        with pytest.raises(HttpError):
+            await server.client.request("GET", path, 0.3, headers=headers)
+        assert not server.requests
+
+
 async def test_close_fails_requests_that_are_under_way():
     async with ScriptedServer(5.0) as server:
         request = asyncio.create_task(server.client.request("GET", "/a", 9.0))
