Store: reads, changes and promotion calls have a connection of their own

A second answer of the store that arrived after the next call was sent was taken for that call's answer: a fleet state that had been replaced since was confirmed as the newest, a list of one kind was taken for the servers, a change that had no answer yet for accepted, and a watch of servers skipped changes up to the revision of another kind's watch.

HTTP/1.1 answers name no request, so that only a connection without an earlier request makes an answer certain. Watches keep their connections, one client for each kind: a second answer to an earlier watch of the kind holds changes and a revision that are known.

--- a/pollencleat/platform/objects.py
+++ b/pollencleat/platform/objects.py
@@ -142,13 +142,16 @@
     ) -> None:
         """Use the store at an address; refused objects are logged by default."""
         self.refused = refused or RefusedObjects()
+        self._address = address
         self._http = HttpClient(address.host, address.port)
+        self._watch_clients_by_kind: dict[str, HttpClient] = {}
         self.calls = 0
         self.era = 0
 
     async def close(self) -> None:
         """Close all connections."""
-        self._http.close()
+        for client in (self._http, *self._watch_clients_by_kind.values()):
+            client.close()
 
     async def read_object(self, kind: str, name: str) -> StoredObject | None:
         """Read an object; reads are linearizable.
@@ -222,8 +225,13 @@
             "watch": str(revision_of(version)),
             "wait_ms": str(int(wait_s * 1000)),
         }
+        # The second answer to an earlier watch of the kind holds nothing wrong: changes
+        # that are known, up to a version that is.  Therefore connections are kept.
+        client = self._watch_clients_by_kind.setdefault(
+            kind, HttpClient(self._address.host, self._address.port)
+        )
         status, body = await self._call(
-            "GET", f"/{kind}", wait_s + WATCH_MARGIN_S, params=params
+            "GET", f"/{kind}", wait_s + WATCH_MARGIN_S, params=params, client=client
         )
         if era_of(version) != self.era:
             # A revision that was handed out again hides the changes before it.
@@ -307,14 +315,18 @@
         timeout_s: float = CALL_TIMEOUT_S,
         params: dict[str, str] | None = None,
         body: Json = None,
+        client: HttpClient | None = None,
     ) -> tuple[int, bytes]:
+        """Call the store on a connection of its own, or on one of a client."""
         self.calls += 1
         url = OBJECTS_PATH + quote(path)
         if params:
             url += "?" + urlencode(params)
         content = b"" if body is None else msgspec.json.encode(body)
         try:
-            response = await self._http.request(method, url, timeout_s, content)
+            response = await (client or self._http).request(
+                method, url, timeout_s, content, is_isolated=client is None
+            )
         except HttpError as error:
             raise StoreUnavailableError(f"{method} {path}: {error}") from error
         if response.status not in (OK, CREATED, NOT_FOUND, CONFLICT, GONE):
--- a/pollencleat/platform/objects_test.py
+++ b/pollencleat/platform/objects_test.py
@@ -1,6 +1,8 @@
 """Lists and watches beside objects that other writers left in the store."""
 
+import asyncio
 import json
+import re
 
 import pytest
 
@@ -93,6 +95,81 @@
     await client.close()
 
 
+class RepeatingStore:
+    """Answers calls with the given bodies, each once more as the next call arrives."""
+
+    def __init__(self, *bodies):
+        self.bodies = list(bodies)
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self._client = ObjectClient(Endpoint("127.0.0.1", port))
+        return self._client
+
+    async def __aexit__(self, *error):
+        await self._client.close()
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        answer = b""
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = re.search(rb"Content-Length: (\d+)", head)
+                await reader.readexactly(int(size[1]) if size else 0)
+                if answer:
+                    writer.write(answer)
+                    await asyncio.sleep(0.1)
+                body = json.dumps(self.bodies.pop(0)).encode()
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                answer += body
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+def make_object(name, revision):
+    return {"meta": {"name": name, "revision": revision}, "spec": {}}
+
+
+async def test_object_is_not_read_from_the_second_answer_to_an_earlier_read():
+    """It confirmed a fleet state that had been replaced since."""
+    async with RepeatingStore(make_object("a", 5), make_object("a", 6)) as client:
+        revisions = [
+            (await client.read_object("k", "a")).meta.revision for _ in range(2)
+        ]
+    assert revisions == [5, 6]
+
+
+async def test_list_is_not_read_from_the_second_answer_to_another_kind():
+    bodies = [
+        {"items": [make_object(name, 3)], "current_rev": 3} for name in ("a", "b")
+    ]
+    async with RepeatingStore(*bodies) as client:
+        await client.list_objects("config")
+        assert set((await client.list_objects("servers")).objects_by_name) == {"b"}
+
+
+async def test_watch_is_not_answered_by_the_second_answer_to_another_kind():
+    """Its revision was taken for the kind's, whose changes before it were missed."""
+    bodies = [
+        {"events": [{"object": make_object(name, 7)}], "current_rev": revision}
+        for name, revision in (("a", 9), ("b", 7))
+    ]
+    async with RepeatingStore(*bodies) as client:
+        await client.watch("config", 2, 0.1)
+        changes = await client.watch("servers", 2, 0.1)
+    assert [event.object.meta.name for event in changes.events] == ["b"]
+    assert changes.version == 7
+
+
+async def test_change_is_not_answered_by_the_second_answer_to_an_earlier_change():
+    async with RepeatingStore(make_object("a", 5), make_object("a", 6)) as client:
+        assert await client.replace_object("k", "a", 4, {"x": 1}) == 5
+        assert await client.replace_object("k", "a", 5, {"x": 2}) == 6
+
+
 async def test_refused_object_is_counted_once_for_each_change(store):
     counted = []
     client = make_client(store, counted)
--- a/pollencleat/web/client.py
+++ b/pollencleat/web/client.py
@@ -4,7 +4,9 @@
 connection was closed before an answer, or had bytes that may answer an earlier request.
 
 An answer names no request.  Bytes that arrive before a request is sent or after its
-complete answer therefore end the connection.
+complete answer therefore end the connection.  A second answer that arrives after the
+next request was sent cannot be told from the right one: isolated requests, and all that
+change something, have a connection of their own.
 """
 
 import asyncio
@@ -201,6 +203,7 @@
         timeout_s: float,
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
+        is_isolated: bool = False,
     ) -> HttpResponse:
         """Send a request and return its response, whatever its status.
 
@@ -210,6 +213,8 @@
             timeout_s: Seconds for connecting, sending and the complete response.
             body: Body, sent as JSON if it is not empty.
             headers: Further headers.
+            is_isolated: Whether the request is sent on a connection of its own; changes
+                always are.
 
         Returns:
             The response.
@@ -223,22 +228,22 @@
             raise HttpError(f"not a header: {error}") from error
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._send(method, message)
+                if is_isolated or method != READ_METHOD:
+                    return await self._exchange(await self._open(), message, False)
+                return await self._send(message)
         except TimeoutError as error:
             raise HttpError("no response in time") from error
         except OSError as error:
             raise HttpError(str(error) or type(error).__name__) from error
 
-    async def _send(self, method: str, message: bytes) -> HttpResponse:
+    async def _send(self, message: bytes) -> HttpResponse:
         connection = self._pop_idle()
         if connection is None:
-            return await self._exchange(await self._open(), message)
+            return await self._exchange(await self._open(), message, True)
         try:
-            return await self._exchange(connection, message)
+            return await self._exchange(connection, message, True)
         except (_ConnectionResetError, _AmbiguousAnswerError):
-            if method != READ_METHOD:
-                raise
-        return await self._exchange(await self._open(), message)
+            return await self._exchange(await self._open(), message, True)
 
     async def _open(self) -> _Connection:
         loop = asyncio.get_running_loop()
@@ -250,7 +255,9 @@
             raise HttpError(str(error) or type(error).__name__) from error
         return connection
 
-    async def _exchange(self, connection: _Connection, message: bytes) -> HttpResponse:
+    async def _exchange(
+        self, connection: _Connection, message: bytes, keeps_connection: bool
+    ) -> HttpResponse:
         self._in_use.add(connection)
         is_complete = False
         try:
@@ -259,7 +266,7 @@
             return response
         finally:
             self._in_use.discard(connection)
-            if is_complete and connection.is_usable:
+            if keeps_connection and is_complete and connection.is_usable:
                 connection.idle_since_s = asyncio.get_running_loop().time()
                 self._idle.append(connection)
             else:
