--- a/pollencleat/web/server_test.py
+++ b/pollencleat/web/server_test.py
@@ -82,6 +82,55 @@
         assert not await running.send(b"GET /" + b"a" * (MAX_REQUEST_BYTES + 1))
 
 
+REQUEST = b"GET /ready HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 0\r\nContent-Length: 30",
+        b"Content-Length: 0, 30",
+        b"Content-Length: +30",
+        b"Content-Length : 30",
+        b"Content-Length: 30\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 30",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        b"Transfer-Encoding: xchunked",
+        b"X: a\r\n Content-Length: 30",
+        b"X: a\rContent-Length: 30",
+        b"X: a\nContent-Length: 30",
+    ],
+)
+async def test_request_whose_end_is_ambiguous_is_not_answered(head):
+    async with Running() as running:
+        requests = REQUEST + head + b"\r\n\r\n0\r\n\r\n" + REQUEST + b"\r\n"
+        assert not await running.send(requests)
+        assert running.malformed == 1
+
+
+@pytest.mark.parametrize("target", [b"/ready\rX", b"/ready\nX"])
+async def test_line_end_in_a_target_is_not_answered_as_the_path_before_it(target):
+    async with Running() as running:
+        assert b"yes" not in await running.send(
+            b"GET " + target + b" HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        )
+
+
+async def test_each_pipelined_request_is_answered_once_and_in_order():
+    async with Running() as running:
+        answers = await running.send(
+            REQUEST
+            + b"Content-Length: 3\r\n\r\nabc"
+            + REQUEST.replace(b"ready", b"other")
+            + b"\r\n"
+            + REQUEST
+            + b"Connection: close\r\n\r\n"
+        )
+        statuses = [part[:3] for part in answers.split(b"HTTP/1.1 ")[1:]]
+        assert statuses == [b"200", b"404", b"200"]
+        assert answers.count(b"yes") == 2
+
+
 @settings(
     max_examples=60,
     deadline=None,
