Peers: a message that arrives twice is handled once

Every reply is matched by a random lease id and a number within the lease, so that none of an earlier call, lease or process is taken for another's. But a call that arrived twice ran twice at the gateway (a write in a transaction, two entries in the log), or was answered as "another call is in progress" in place of its reply; a request that arrived again after its grant moved the lease to a second connection; a repeated grant ended a lease in use, and the gateway kept the connection with the session values of the grant.

The gateway starts only calls whose number is above the newest, and no request for a lease that it has granted; the borrower ignores grants of leases that it holds. ZeroMQ itself was not seen to deliver twice.

--- a/bench/hops_test.py
+++ b/bench/hops_test.py
@@ -9,7 +9,15 @@
 import pytest
 
 from bench.platform_cluster import PlatformCluster
-from pollencleat.core.messages import LeaseEnded, LinkCall, LinkReply
+from pollencleat.core.messages import (
+    LeaseEnded,
+    LeaseGranted,
+    LeaseRequest,
+    LinkCall,
+    LinkReply,
+    ReadAnswer,
+    ReadRequest,
+)
 from pollencleat.hops.borrower import GATEWAY_TIMEOUT_S
 from pollencleat.hops.lender import BORROWER_TIMEOUT_S
 from pollencleat.limits.shares import connections_allowed
@@ -288,6 +296,56 @@
     assert find_logged_values(cluster, "k") == ["kept"]
 
 
+def send_twice(cluster, message_type, delay_s):
+    """Have every node send messages of a type again after a delay."""
+    loop = asyncio.get_running_loop()
+
+    def repeat(send):
+        def send_again(to, message):
+            if isinstance(message, message_type):
+                loop.call_later(delay_s, send, to, message)
+            return send(to, message)
+
+        return send_again
+
+    for node in cluster.nodes:
+        node.lender._send = repeat(node.lender._send)
+        node.borrower.send = repeat(node.borrower.send)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.03])
+@pytest.mark.parametrize(
+    "message_type",
+    [
+        LeaseRequest,
+        LeaseGranted,
+        LeaseEnded,
+        LinkCall,
+        LinkReply,
+        ReadRequest,
+        ReadAnswer,
+    ],
+)
+async def test_message_that_arrives_twice_is_handled_once(
+    cluster, message_type, delay_s
+):
+    """A call ran twice, and a lease moved to a second connection or ended in use."""
+    _, others = split_nodes(cluster)
+    client = await cluster.connect("main-db", others[0])
+    send_twice(cluster, message_type, delay_s)
+    for number in range(5):
+        assert not (await client.query(f"SET v {number}")).error
+        assert not (await client.query("BEGIN")).error
+        for part in "ab":
+            answer = await client.query(f"WRITE k{number} {part}")
+            assert not answer.error and answer.receipt
+            await asyncio.sleep(0.04)
+        assert (await client.query("COMMIT")).receipt
+        assert (await client.query(f"READ k{number}")).rows == ("b",)
+        assert find_logged_values(cluster, f"k{number}") == ["a", "b"]
+    await wait_for(lambda: not any(node.lender.is_busy for node in cluster.nodes), 1.0)
+
+
 async def test_unresponsive_replica_is_avoided_until_it_answers_again(cluster):
     """Only gateways have server connections on which a missing response shows."""
     _, others = split_nodes(cluster)
--- a/pollencleat/hops/borrower.py
+++ b/pollencleat/hops/borrower.py
@@ -367,14 +367,26 @@
     # Handlers of the gateways' messages.
 
     def on_lease_granted(self, message: LeaseGranted) -> None:
-        """Complete a lease request; a lease that nobody waits for is returned."""
+        """Complete a lease request; a lease that nobody waits for is returned.
+
+        A grant that arrives again while its lease is in use is ignored.
+        """
         self._record_message(message.node_id)
+        if message.lease_id in self._leases or self._is_granted(message.lease_id):
+            return
         if not self._complete_request(message):
             self.send(
                 message.node_id,
                 LeaseEnded(self.board.node_id, message.lease_id, message.state),
             )
 
+    def _is_granted(self, lease_id: int) -> bool:
+        """Return whether a request was granted that its task has not resumed for."""
+        request = self._requests.get(lease_id)
+        if request is None or not request.future.done() or request.future.cancelled():
+            return False
+        return isinstance(request.future.result(), LeaseGranted)
+
     def on_read_answer(self, message: ReadAnswer) -> None:
         """Complete a read request."""
         self._record_message(message.node_id)
--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -69,6 +69,7 @@
     Attributes:
         pool_lease: The connection, as leased from this node's pool.
         last_message_at_s: Local time of the borrower's last message.
+        last_call_number: Number of the newest call that was started.
         running_call: The call in progress.
         close_after_call: The borrower timed out during the call in progress; the
             connection is closed after the call.
@@ -77,6 +78,7 @@
     borrower_id: str
     pool_lease: Lease
     last_message_at_s: float
+    last_call_number: int = 0
     running_call: asyncio.Task | None = None
     close_after_call: bool = False
 
@@ -110,8 +112,15 @@
     # Lease and read requests.
 
     def on_lease_request(self, request: LeaseRequest) -> None:
-        """Start processing a lease request, or refuse it at once."""
-        if self._refuse_unservable(request) or request.lease_id in self._requests_by_id:
+        """Start processing a lease request, or refuse it at once.
+
+        A request that arrives again has an answer or will get one.
+        """
+        if (
+            request.lease_id in self._requests_by_id
+            or request.lease_id in self._active_leases_by_id
+            or self._refuse_unservable(request)
+        ):
             return
         self._requests_by_id[request.lease_id] = self._start_task(
             self._process_request(request, self._grant_lease, request)
@@ -133,7 +142,7 @@
     def on_read_request(self, request: ReadRequest) -> None:
         """Start a read on one of this node's connections, or refuse it at once."""
         lease = request.lease
-        if self._refuse_unservable(lease) or lease.lease_id in self._requests_by_id:
+        if lease.lease_id in self._requests_by_id or self._refuse_unservable(lease):
             return
         self._requests_by_id[lease.lease_id] = self._start_task(
             self._process_request(lease, self._read, request)
@@ -332,15 +341,18 @@
     # Calls on leased connections.
 
     def on_link_call(self, message: LinkCall) -> None:
-        """Start a call on a leased connection."""
+        """Start a call on a leased connection; one that arrives again is ignored."""
         active_lease = self._active_leases_by_id.get(message.lease_id)
         if active_lease is None or active_lease.borrower_id != message.node_id:
             self._reply_error(message, "unknown or ended lease")
             return
         active_lease.last_message_at_s = self._access.clock()
+        if message.number <= active_lease.last_call_number:
+            return
         if active_lease.running_call is not None:
             self._reply_error(message, "another call is in progress")
             return
+        active_lease.last_call_number = message.number
         active_lease.running_call = self._start_task(
             self._run_call(active_lease, message)
         )
