Gateways: a connection whose session state is in doubt is not leased again

Statements of other sessions could run with a value that was not theirs: a gateway kept a connection on the borrower's word after a SET, PREPARE or DISCARD that the server had refused or that had no reply.

The gateway itself sees the replies: after a call without a reply, or a refused one that changes the session state, it closes the connection at the end of the lease.

--- a/pollencleat/hops/lender.py
+++ b/pollencleat/hops/lender.py
@@ -58,6 +58,10 @@
 """Time without an answer after which a borrower gets RequestAtWork; less than the
 borrower's FIRST_ANSWER_TIMEOUT_S."""
 
+SESSION_STATE_CALLS = frozenset({"set_value", "prepare", "reset"})
+"""Calls that change a connection's session state; after one that did not succeed, the
+state is not what the borrower reports."""
+
 RETRY_AFTER_MS = 100
 """Retry delay for a borrower's caller when this node grants no lease."""
 
@@ -73,6 +77,8 @@
         running_call: The call in progress.
         close_after_call: The borrower timed out during the call in progress; the
             connection is closed after the call.
+        is_reusable: No call was left without a reply, and none that changes the session
+            state was refused.
     """
 
     borrower_id: str
@@ -81,6 +87,7 @@
     last_call_number: int = 0
     running_call: asyncio.Task | None = None
     close_after_call: bool = False
+    is_reusable: bool = True
 
 
 class HopLender:
@@ -367,13 +374,17 @@
                 active_lease.pool_lease.connection, message.call, message.arguments
             )
             reply = await access.track(server.server_id, call)
+            if message.call in SESSION_STATE_CALLS and reply.failure is not None:
+                active_lease.is_reusable = False
         except asyncio.CancelledError:
             if self._is_closed:
                 self._reply_error(message, "the gateway has stopped")
             raise
         except (BackendError, TimeoutError) as error:
+            active_lease.is_reusable = False
             self._reply_error(message, str(error) or type(error).__name__)
         except Exception as error:
+            active_lease.is_reusable = False
             self._reply_error(message, f"unexpected {type(error).__name__}")
             raise
         else:
@@ -409,7 +420,11 @@
         active_lease = self._active_leases_by_id.get(message.lease_id)
         if active_lease is None or active_lease.borrower_id != message.node_id:
             return
-        reusable = message.state is not None and active_lease.running_call is None
+        reusable = (
+            message.state is not None
+            and active_lease.running_call is None
+            and active_lease.is_reusable
+        )
         if reusable:
             try:
                 apply_link_state(active_lease.pool_lease.connection, message.state)
