MySQL wire: only the answer to a preparation names a statement

If another answer was taken for that to COM_STMT_PREPARE, its bytes became the id of a statement, so that another prepared statement of the connection could run. An empty packet raised an IndexError.

An answer of another form ends the connection before anything is executed.

--- a/pollencleat/backend/connection.py
+++ b/pollencleat/backend/connection.py
@@ -236,6 +236,9 @@
         except (asyncmy.errors.MySQLError, OSError) as error:
             self.close()
             raise BackendLostError(str(error)) from error
+        if not packet.data:
+            self.close()
+            raise BackendLostError("an empty packet")
         return packet.data
 
     async def read_result(self) -> AsyncIterator[bytes]:
--- a/pollencleat/backend/connection_test.py
+++ b/pollencleat/backend/connection_test.py
@@ -8,6 +8,7 @@
 from pollencleat.backend.connection import QUERY_COMMAND, open_connection
 from pollencleat.backend.monitor import ServerMonitor
 from pollencleat.backend.pool import Credentials
+from pollencleat.callers.commands import prepare_on
 from pollencleat.core.data import BackendServer
 from pollencleat.core.errors import BackendError, BackendLostError
 
@@ -150,6 +151,20 @@
         monitor.close()
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [OK_ANSWER, make_rows(b"1"), make_packets(b"")],
+    ids=["ok", "rows", "empty"],
+)
+async def test_other_answer_is_not_taken_for_that_to_a_preparation(answer):
+    """Its bytes were taken for the id of a statement, which would then be executed."""
+    async with ScriptedServer(answer) as server:
+        connection = await server.connect()
+        with pytest.raises(BackendLostError):
+            await prepare_on(connection, "SELECT 1")
+        assert not connection.is_usable and not connection.statement_ids_by_text
+
+
 async def test_result_of_another_statement_is_an_error_of_the_connection():
     async with ScriptedServer(OK_ANSWER) as server:
         connection = await server.connect()
--- a/pollencleat/callers/commands.py
+++ b/pollencleat/callers/commands.py
@@ -7,12 +7,13 @@
     ERROR_HEADER,
     EXECUTE_COMMAND,
     LONG_DATA_COMMAND,
+    OK_HEADER,
     PREPARE_COMMAND,
     QUERY_COMMAND,
     BackendConnection,
     BackendStatementError,
 )
-from pollencleat.core.errors import InvalidHintError
+from pollencleat.core.errors import BackendLostError, InvalidHintError
 
 MAX_PREPARED_PER_CONNECTION = 64
 """Number of prepared statements kept open on one backend connection."""
@@ -21,6 +22,10 @@
 FLAGS_OFFSET = 4
 BITMAP_OFFSET = 9
 TYPE_BYTES = 2
+PREPARE_ANSWER_BYTES = 12
+"""Least size of the first packet of the answer to COM_STMT_PREPARE."""
+
+PREPARE_FILLER_OFFSET = 9
 
 
 @dataclass(eq=False, slots=True)
@@ -110,6 +115,7 @@
 
     Raises:
         BackendStatementError: The server refused to prepare the statement.
+        BackendLostError: The connection broke, or the answer is to another command.
     """
     cached = connection.statement_ids_by_text.get(text)
     if cached is not None:
@@ -124,6 +130,13 @@
     first = await connection.read_raw()
     if first[0] == ERROR_HEADER:
         raise BackendStatementError(first)
+    if (
+        first[0] != OK_HEADER
+        or len(first) < PREPARE_ANSWER_BYTES
+        or first[PREPARE_FILLER_OFFSET] != 0
+    ):
+        connection.close()
+        raise BackendLostError("an answer that is not to the preparation")
     packets = [first]
     column_count = int.from_bytes(first[5:7], "little")
     parameter_count = int.from_bytes(first[7:9], "little")
