MySQL wire: status and position are matched to their request by a number

A second answer to an earlier request that arrived after the next one was sent was taken for its answer: a status row of before a promotion, or the position of an earlier write on which a write was acknowledged whose own answer had not been read.

The protocol names no request, but SQL can: the SELECT ends with a number that is used once, and an answer without it ends the connection. The statement's outcome is then unknown. The fake connection of operations_test.py echoes the number; its checks are the same.

--- a/pollencleat/backend/connection_test.py
+++ b/pollencleat/backend/connection_test.py
@@ -48,8 +48,24 @@
 OK_ANSWER = make_packets(OK_PAYLOAD)
 
 
+def answer_numbered(*values):
+    """Return a step that also answers the number at the end of the query."""
+
+    def answer(command):
+        return make_rows(*values, command.rsplit(b" ", 1)[1])
+
+    return answer
+
+
+OLD_STATUS = answer_numbered(b"1", b"5", b"5", b"1", b"0", b"")
+NEW_STATUS = answer_numbered(b"2", b"9", b"9", b"2", b"1", b"other")
+
+
 class ScriptedServer:
-    """Answers each command with the next entry of a script, which are raw bytes."""
+    """Answers each command with the next entry of a script.
+
+    An entry is the bytes to send, or a function that returns them for a command.
+    """
 
     def __init__(self, *script):
         self.script = list(script)
@@ -78,8 +94,10 @@
             await self._read_packet(reader)
             writer.write(make_packets(OK_PAYLOAD, sequence=2))
             while True:
-                self.commands.append(await self._read_packet(reader))
-                writer.write(self.script.pop(0))
+                command = await self._read_packet(reader)
+                self.commands.append(command)
+                step = self.script.pop(0)
+                writer.write(step if isinstance(step, bytes) else step(command))
         except (asyncio.IncompleteReadError, ConnectionError, IndexError):
             writer.close()
 
@@ -139,9 +157,9 @@
 
 async def test_status_is_not_read_from_an_unread_answer():
     """The second answer to a status request was taken for that to the next."""
-    old = make_rows(b"1", b"5", b"5", b"1", b"0", b"")
-    new = make_rows(b"2", b"9", b"9", b"2", b"1", b"other")
-    async with ScriptedServer(old + old, new) as server:
+    async with ScriptedServer(
+        lambda command: OLD_STATUS(command) * 2, NEW_STATUS
+    ) as server:
         backend = BackendServer("s", "g", "127.0.0.1", server.port, "d", 2, 30)
         monitor = ServerMonitor(backend, Credentials("u", "p"))
         assert (await monitor.read_status()).term == 1
@@ -151,6 +169,42 @@
         monitor.close()
 
 
+async def test_status_is_not_read_from_a_second_answer_that_arrives_late():
+    """It arrived after the next request had been sent."""
+    first = []
+
+    def answer_first(command):
+        first.append(OLD_STATUS(command))
+        return first[0]
+
+    async with ScriptedServer(
+        answer_first, lambda command: first[0] + NEW_STATUS(command), NEW_STATUS
+    ) as server:
+        backend = BackendServer("s", "g", "127.0.0.1", server.port, "d", 2, 30)
+        monitor = ServerMonitor(backend, Credentials("u", "p"))
+        assert (await monitor.read_status()).term == 1
+        with pytest.raises(BackendError):
+            await monitor.read_status()
+        assert (await monitor.read_status()).term == 2
+        monitor.close()
+
+
+async def test_position_is_not_read_from_an_answer_to_an_earlier_request():
+    """A write was acknowledged on the position of an earlier one."""
+    first = []
+
+    def answer_first(command):
+        first.append(answer_numbered(b"1", b"5")(command))
+        return first[0]
+
+    async with ScriptedServer(answer_first, lambda command: first[0]) as server:
+        connection = await server.connect()
+        assert await operations.read_position(connection) == (1, 5)
+        with pytest.raises(BackendLostError):
+            await operations.read_position(connection)
+        assert not connection.is_usable
+
+
 @pytest.mark.parametrize(
     "answer",
     [OK_ANSWER, make_rows(b"1"), make_packets(b"")],
--- a/pollencleat/backend/operations.py
+++ b/pollencleat/backend/operations.py
@@ -2,13 +2,18 @@
 
 All SQL that is specific to the platform's database groups is in this module: status,
 fencing, promotion and following a primary.
+
+An answer of the protocol names no request.  Status and position are therefore asked for
+together with a number that the server returns, so that a second answer to an earlier
+request is not taken for the one to the latest.
 """
 
+import itertools
 from collections.abc import Sequence
 
 from pollencleat.backend.connection import BackendConnection
 from pollencleat.core.data import ServerStatus
-from pollencleat.core.errors import BackendError
+from pollencleat.core.errors import BackendError, BackendLostError
 
 STATUS_SQL = (
     "SELECT @@server_term, @@log_position, @@received_position, @@last_entry_term, "
@@ -19,6 +24,30 @@
 MAX_NUMBER = 10**18 - 1
 """Largest number accepted from a server; every such number fits into 64 bits."""
 
+_request_numbers = itertools.count(1)
+
+
+async def _run_numbered(connection: BackendConnection, sql: str) -> Sequence:
+    """Return the row of a SELECT, which must hold the number of this request.
+
+    Args:
+        connection: An idle connection; closed if the answer is to another request.
+        sql: A SELECT without FROM clause.
+
+    Returns:
+        The values that were asked for.
+
+    Raises:
+        BackendLostError: The answer is to another request.
+    """
+    number = next(_request_numbers)
+    rows = await connection.run(f"{sql}, {number}")
+    row = _first_row(rows)
+    if not row or len(rows) != 1 or str(row[-1]) != str(number):
+        connection.close()
+        raise BackendLostError("the answer does not hold the number of the request")
+    return row[:-1]
+
 
 def _first_row(rows: object) -> Sequence:
     """Return the first row of a result; empty if there is none."""
@@ -46,12 +75,13 @@
         The status.
 
     Raises:
-        BackendError: The result is not a single row, or the statement failed.
+        BackendError: The result is malformed or to another request, or the statement
+            failed.
     """
-    rows = await connection.run(STATUS_SQL)
-    if not isinstance(rows, list) or len(rows) != 1:
-        raise BackendError("malformed status answer: expected one row")
-    *numbers, following = rows[0]
+    row = await _run_numbered(connection, STATUS_SQL)
+    if not row:
+        raise BackendError("malformed status answer: no values")
+    *numbers, following = row
     term, position, received, entry_term, read_only = _parse_numbers(numbers, 5)
     return ServerStatus(
         term, position, received, entry_term, bool(read_only), str(following or "")
@@ -68,10 +98,11 @@
         The term and the applied log position.
 
     Raises:
-        BackendError: The result is malformed, or the statement failed.
+        BackendError: The result is malformed or to another request, or the statement
+            failed.
     """
-    rows = await connection.run(POSITION_SQL)
-    term, position = _parse_numbers(_first_row(rows), 2)
+    row = await _run_numbered(connection, POSITION_SQL)
+    term, position = _parse_numbers(row, 2)
     return term, position
 
 
--- a/pollencleat/backend/operations_test.py
+++ b/pollencleat/backend/operations_test.py
@@ -5,13 +5,18 @@
 
 
 class Connection:
-    """Answers every statement with the same rows."""
+    """Answers every statement with the same rows, and the number that it ends with."""
 
     def __init__(self, rows):
         self.rows = rows
 
     async def run(self, sql):
-        return self.rows
+        if not isinstance(self.rows, list) or not sql.startswith("SELECT"):
+            return self.rows
+        return [(*row, int(sql.rsplit(" ", 1)[1])) for row in self.rows]
+
+    def close(self):
+        pass
 
 
 ODD_NUMBERS = [None, "", "x", "9" * 5_000, 10**30, -1, "1.5", [1]]
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -225,12 +225,15 @@
     async def _set(self, match: re.Match) -> Result:
         return Result()
 
-    @command(r"SELECT\s+@@server_term\s*,\s*@@log_position")
+    @command(r"SELECT\s+@@server_term\s*,\s*@@log_position(?:\s*,\s*(?P<number>\d+))?")
     async def _position(self, match: re.Match) -> Result:
         database = self.server.database
-        return Result(("term", "position"), ((database.term, database.position),))
+        names, row = ("term", "position"), (database.term, database.position)
+        if match["number"] is not None:
+            names, row = (*names, "number"), (*row, int(match["number"]))
+        return Result(names, (row,))
 
-    @command(r"SELECT\s+@@server_term\b.*@@following.*")
+    @command(r"SELECT\s+@@server_term\b.*@@following(?:\s*,\s*(?P<number>\d+))?")
     async def _status(self, match: re.Match) -> Result:
         database = self.server.database
         row = (
@@ -242,6 +245,8 @@
             database.following,
         )
         names = "term position received entry_term read_only following"
+        if match["number"] is not None:
+            names, row = f"{names} number", (*row, int(match["number"]))
         return Result(tuple(names.split()), (row,))
 
     @command(r"SELECT\s+@@peak_connections")
