--- a/bench/whole_path_test.py
+++ b/bench/whole_path_test.py
@@ -334,6 +334,23 @@
         assert await run(connection, "SELECT 1")
 
 
+async def test_commands_sent_without_waiting_are_answered_in_order(deployment):
+    texts = [f"value {number}" for number in range(20)]
+    packets = [make_packet(0, b"\x03SELECT '%s'" % text.encode()) for text in texts]
+    async with caller(deployment) as connection:
+        connection._transport.write(b"".join(packets))
+        for text in texts:
+            connection._next_seq_id = 1
+            await connection._read_query_result()
+            assert connection._result.rows == ((text,),)
+        connection._transport.write(packets[0][:7])
+        await asyncio.sleep(0.05)
+        connection._transport.write(packets[0][7:])
+        connection._next_seq_id = 1
+        await connection._read_query_result()
+        assert connection._result.rows == ((texts[0],),)
+
+
 async def test_oversized_statement_is_refused(deployment):
     async with caller(deployment) as connection:
         with pytest.raises(asyncmy.errors.MySQLError) as caught:
