MySQL wire: an error is no promise for a write before the connection is in step

The second error of an earlier statement that arrived after a write or COMMIT had been sent was taken for its answer: the caller was told that nothing had run, and it had.

After such an error the position is read, whose answer holds a number: only if it comes next was the error the answer to the latest command. Otherwise the outcome is unknown. It costs one statement for each refused write, none for others.

--- a/pollencleat/callers/acknowledgement.py
+++ b/pollencleat/callers/acknowledgement.py
@@ -12,6 +12,7 @@
 )
 from pollencleat.core.data import Customer, GroupTerm, Position
 from pollencleat.core.errors import (
+    BackendLostError,
     CallerError,
     SessionHistoryLostError,
     TransactionLostError,
@@ -94,6 +95,27 @@
     context.session.groups_with_known_floor.add(term.group_id)
 
 
+async def confirm_error(lease: Lease) -> None:
+    """Check that the error just read is the answer to the latest command.
+
+    The second error of an earlier command would be a false promise that the latest one
+    did not run.
+
+    Args:
+        lease: The connection from which the error was read.
+
+    Raises:
+        BackendLostError: It may be the answer to an earlier command.
+        TimeoutError: The server did not answer in time.
+    """
+    try:
+        async with asyncio.timeout(POSITION_READ_TIMEOUT_S):
+            await operations.read_position(lease.connection)
+    except BackendStatementError as error:
+        lease.connection.close()
+        raise BackendLostError(f"cannot confirm an error: {error}") from error
+
+
 async def commit_on_server(
     context: StatementContext, term: GroupTerm, lease: Lease
 ) -> None:
@@ -109,6 +131,8 @@
             before COMMIT was sent, or the server refused COMMIT.
         UnknownOutcomeError: The server committed, but the commit must not be
             acknowledged, for the reasons listed at acknowledge.
+        BackendLostError: The connection broke, or an error may belong to an earlier
+            command.
         TimeoutError: The server did not answer in time.
     """
     if not context.gateway.is_still_writable(term):
@@ -119,6 +143,7 @@
         async with asyncio.timeout(ANSWER_START_TIMEOUT_S):
             await lease.connection.run("COMMIT")
     except BackendStatementError as error:
+        await confirm_error(lease)
         raise TransactionLostError(str(error)) from error
     await acknowledge(context, term, lease)
 
--- a/pollencleat/callers/writes.py
+++ b/pollencleat/callers/writes.py
@@ -5,6 +5,7 @@
 from pollencleat.callers.acknowledgement import (
     acknowledge,
     check_session_history,
+    confirm_error,
     error_for_caller,
     lease_primary_connection,
 )
@@ -97,9 +98,12 @@
 
     Raises:
         BackendStatementError: The server refused the write.
+        BackendLostError: The connection broke, or an error may belong to an earlier
+            command.
     """
     answer = await request_answer(lease, command, ANSWER_START_TIMEOUT_S)
     if answer.is_error:
+        await confirm_error(lease)
         raise BackendStatementError(answer.first)
     if answer.is_result_set:
         status = await forward_answer(context, answer, lease)
