Platform client of the MySQL side: a connection for each call

A second answer that arrived after the next call was sent was taken for its answer: an old fleet state was confirmed as the newest, on which write permits rest, and a change without an answer counted as accepted.

Evidence: store/client_test.py, 2 of 2 cases failed before (5 instead of 6), 2 of 2 pass. HTTP/1.1 answers name no request; only a connection without an earlier one makes an answer certain.

--- a/pollencleat/store/client.py
+++ b/pollencleat/store/client.py
@@ -180,7 +180,11 @@
     ) -> tuple[int, bytes]:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            # An answer names no request: on a connection that is kept, a second answer
+            # to an earlier call would be taken for the answer to the next one.
+            self._session = aiohttp.ClientSession(
+                timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+            )
         self.calls += 1
         merged = {**self._headers, **(headers or {})}
         try:
