--- a/pollencleat/web/client_test.py
+++ b/pollencleat/web/client_test.py
@@ -20,6 +20,7 @@
         self.script = list(script)
         self.requests = []
         self.connections = 0
+        self.writers = []
         self._server = None
 
     async def __aenter__(self):
@@ -34,6 +35,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         while True:
             try:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -115,6 +117,119 @@
         assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
 
 
+SECOND_ANSWER = OK_ANSWER.replace(b"ok", b"no").replace(b"Era: 3", b"Era: 9")
+
+
+@pytest.mark.parametrize("extra", [SECOND_ANSWER, SECOND_ANSWER[:30], b"\0", b"\r\n"])
+async def test_bytes_after_a_first_answer_change_nothing_and_end_the_connection(extra):
+    """The headers of the second answer were taken for those of the first."""
+    async with ScriptedServer(OK_ANSWER + extra, OK_ANSWER) as server:
+        answer = await server.client.request("GET", "/a", 1.0)
+        assert answer.body == b"ok" and answer.headers["store-era"] == "3"
+        await server.client.request("GET", "/b", 1.0)
+        assert server.connections == (1 if extra == b"\r\n" else 2)
+
+
+async def test_of_two_answers_at_once_on_a_kept_connection_none_is_taken():
+    """The first may be the second answer to an earlier request."""
+    script = (OK_ANSWER, SECOND_ANSWER + OK_ANSWER, OK_ANSWER)
+    async with ScriptedServer(*script) as server:
+        await server.client.request("GET", "/a", 1.0)
+        assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+        assert server.connections == 2
+
+
+async def test_of_two_answers_at_once_to_a_change_the_first_is_taken():
+    """Nothing was sent before on its connection."""
+    script = (OK_ANSWER, OK_ANSWER + SECOND_ANSWER, OK_ANSWER)
+    async with ScriptedServer(*script) as server:
+        await server.client.request("GET", "/a", 1.0)
+        assert (await server.client.request("PUT", "/b", 1.0, b"{}")).body == b"ok"
+        assert len(server.requests) == 2 and server.connections == 2
+
+
+@pytest.mark.parametrize(("method", "is_isolated"), [("PUT", False), ("GET", True)])
+async def test_second_answer_to_an_earlier_request_answers_no_isolated_one(
+    method, is_isolated
+):
+    """It came after the request was sent, when nothing tells it from its answer."""
+    async with ScriptedServer(OK_ANSWER, 0.2) as server:
+        await server.client.request("GET", "/a", 1.0)
+        request = asyncio.create_task(
+            server.client.request(method, "/b", 1.0, is_isolated=is_isolated)
+        )
+        await asyncio.sleep(0.1)
+        server.writers[0].write(SECOND_ANSWER)
+        assert (await request).body == b"ok"
+        assert server.connections == 2
+
+
+async def test_connection_of_an_isolated_request_is_not_used_again():
+    async with ScriptedServer(OK_ANSWER, OK_ANSWER) as server:
+        await server.client.request("PUT", "/a", 1.0, b"{}")
+        await server.client.request("GET", "/b", 1.0)
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize("status", [b"100 Continue", b"103 Early Hints"])
+async def test_interim_answer_is_not_taken_for_the_answer(status):
+    interim = b"HTTP/1.1 " + status + b"\r\nStore-Era: 9\r\n\r\n"
+    async with ScriptedServer(interim * 2 + OK_ANSWER, OK_ANSWER) as server:
+        answer = await server.client.request("GET", "/a", 1.0)
+        assert (answer.status, answer.headers["store-era"]) == (200, "3")
+        assert (await server.client.request("GET", "/b", 1.0)).status == 200
+        assert server.connections == 1
+
+
+async def test_change_of_protocol_is_an_error():
+    switch = b"HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+    async with ScriptedServer(switch, OK_ANSWER) as server:
+        with pytest.raises(HttpError):
+            await server.client.request("GET", "/a", 0.3)
+        assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+
+
+async def test_answer_that_waits_before_a_request_is_sent_is_not_taken_for_its_answer():
+    """The event loop has not read it yet, so that the connection looked idle."""
+    async with ScriptedServer(OK_ANSWER, OK_ANSWER) as server:
+        await server.client.request("GET", "/a", 1.0)
+        server.writers[0].write(SECOND_ANSWER)
+        assert (await server.client.request("GET", "/b", 1.0)).body == b"ok"
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+async def test_answer_of_a_server_that_speaks_first_is_not_taken(method):
+    async def speak(reader, writer):
+        writer.write(SECOND_ANSWER)
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(speak, "127.0.0.1", 0)
+    client = HttpClient("127.0.0.1", listener.sockets[0].getsockname()[1])
+    with pytest.raises(HttpError):
+        await client.request(method, "/a", 0.5)
+    client.close()
+    listener.close()
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/a HTTP/1.1\r\nHost: b\r\n\r\nGET /b", {}),
+        ("/a\n", {}),
+        ("/a", {"Duty-Holder": "n\r\n\r\nGET /b HTTP/1.1"}),
+        ("/a", {"Duty\nHolder": "n"}),
+    ],
+)
+async def test_line_end_in_a_request_sends_nothing(path, headers):
+    """It would send a second request, whose answer would be the next one's."""
+    async with ScriptedServer(OK_ANSWER) as server:
+        with pytest.raises(HttpError):
+            await server.client.request("GET", path, 0.3, headers=headers)
+        assert not server.requests
+
+
 async def test_close_fails_requests_that_are_under_way():
     async with ScriptedServer(5.0) as server:
         request = asyncio.create_task(server.client.request("GET", "/a", 9.0))
