--- a/pollencleat/backend/connection_test.py
+++ b/pollencleat/backend/connection_test.py
@@ -205,7 +205,7 @@
         assert not connection.is_usable
 
 
-@pytest.mark.xfail(reason="MySQL answers name no request, issue 33", strict=True)
+@pytest.mark.xfail(reason="KNOWN-RED 24", strict=True)
 async def test_read_is_not_answered_by_a_second_answer_that_arrives_late():
     first = make_rows(b"a")
     async with ScriptedServer(first, first + make_rows(b"b")) as server:
