--- a/bench/hops_test.py
+++ b/bench/hops_test.py
@@ -4,20 +4,24 @@
 """
 
 import asyncio
+import contextlib
 import random
 
 import pytest
 
 from bench.platform_cluster import PlatformCluster
+from pollencleat.core.errors import BackendLostError
 from pollencleat.core.messages import (
     LeaseEnded,
     LeaseGranted,
     LeaseRequest,
     LinkCall,
     LinkReply,
+    LinkState,
     ReadAnswer,
     ReadRequest,
 )
+from pollencleat.engine.statements import Access, Shape
 from pollencleat.hops.borrower import GATEWAY_TIMEOUT_S
 from pollencleat.hops.lender import BORROWER_TIMEOUT_S
 from pollencleat.limits.shares import connections_allowed
@@ -111,6 +115,63 @@
         assert (await client.query("READ k")).state == "I", number
 
 
+async def test_value_rejected_in_a_transaction_stays_on_no_lent_connection(cluster):
+    """Other sessions' statements ran with the former value."""
+    primary = find_primary(cluster)
+    _, others = split_nodes(cluster)
+    client = await cluster.connect("main-db", others[0])
+    await client.query("SET tz a")
+    await client.query("BEGIN")
+    assert not (await client.query("READ k")).error
+    for number in range(20):
+        await client.query(f"SET tz b{number}")
+        # A probe's request may be rejected instead.
+        primary.faults.reject_proxy_statements = 1
+        answer = await client.query("READ k")
+        if answer.error:
+            break
+    assert answer.error == "ABORTED"
+    primary.faults.reject_proxy_statements = 0
+    assert (await client.query("ROLLBACK")).state == "I"
+    cluster.group.executed_statements.clear()
+    for number in range(NODES):
+        other = await cluster.connect("main-db", number)
+        assert not (await other.query("READ k")).error
+    assert {run.values for run in cluster.group.executed_statements} == {()}
+
+
+@pytest.mark.parametrize("call", ["set_value", "prepare", "reset"])
+async def test_lent_connection_of_unknown_state_is_closed_whatever_is_reported(
+    cluster, call
+):
+    """A borrower reported the state that it knew after a refused request."""
+    _, others = split_nodes(cluster)
+    client = await cluster.connect("main-db", others[0])
+    await client.query("BEGIN")
+    assert not (await client.query("READ k")).error
+    borrower = cluster.nodes[others[0]].borrower
+    (lease,) = borrower._leases.values()
+    lender = find_gateway(cluster, others[0]).lender
+    (active_lease,) = lender._active_leases_by_id.values()
+    connection = active_lease.pool_lease.connection
+    shape = Shape(Access.READ, "x")
+    arguments = {"set_value": ("tz", "a"), "prepare": ("p0", shape), "reset": ()}
+    for _ in range(20):
+        find_primary(cluster).faults.reject_proxy_statements = 1
+        reply = await getattr(lease.connection, call)(*arguments[call])
+        if reply.failure is not None:
+            break
+    assert reply.failure is not None
+    find_primary(cluster).faults.reject_proxy_statements = 0
+    with contextlib.suppress(BackendLostError):
+        await lease.connection.roll_back()
+    state = LinkState({}, ())
+    lender.on_lease_ended(
+        LeaseEnded(borrower.node_id, lease.connection.lease_id, state)
+    )
+    assert not connection.is_usable
+
+
 async def run_load(cluster, numbers, stop_event, outcomes, seed):
     """Write until the stop event is set, and record the outcome of each write."""
     generator = random.Random(seed)
--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -223,6 +223,30 @@
     assert cluster.group.executed_statements[-1].values == (("tz", "a"),)
 
 
+async def test_value_rejected_in_a_transaction_stays_on_no_connection(cluster):
+    """Other sessions' statements ran with the former value."""
+    primary = cluster.group.servers[0]
+    client = await cluster.connect("main-db")
+    await client.query("SET tz a")
+    await client.query("BEGIN")
+    assert not (await client.query("READ k")).error
+    answer = None
+    for number in range(20):
+        await client.query(f"SET tz b{number}")
+        # A probe's request may be rejected instead.
+        primary.faults.reject_proxy_statements = 1
+        answer = await client.query("READ k")
+        if answer.error:
+            break
+    assert answer.error == "ABORTED"
+    primary.faults.reject_proxy_statements = 0
+    assert (await client.query("ROLLBACK")).state == "I"
+    other = await cluster.connect("main-db")
+    for _ in range(3):
+        assert not (await other.query("READ k")).error
+        assert cluster.group.executed_statements[-1].values == ()
+
+
 async def test_route_changes_take_effect_and_older_versions_are_ignored(cluster):
     await cluster.put_configuration(routes={"new-db": ("primary", None)})
 
--- a/pollencleat/engine/restore.py
+++ b/pollencleat/engine/restore.py
@@ -1,4 +1,8 @@
-"""Restores a session's state on a pooled server connection before it is used."""
+"""Restores a session's state on a pooled server connection before it is used.
+
+A connection whose state is unknown, because the server has not confirmed a change of
+it, is closed at once, so that nobody can return it to a pool.
+"""
 
 from collections.abc import Awaitable, Callable
 
@@ -30,21 +34,19 @@
         await_reply: Waits for the reply to each request.
 
     Raises:
-        ConnectionNotRestoredError: The server refused; the connection must be closed.
+        ConnectionNotRestoredError: The server refused; the connection is closed.
         BackendLostError: The connection was lost.
     """
     has_foreign_value = any(name not in session.values for name in link.values)
     has_too_many_statements = len(link.names_by_shape) > MAX_PREPARED_STATEMENTS
     if has_foreign_value or (has_too_many_statements and not link.has_open_transaction):
-        _require_success(await await_reply(link.reset()))
+        await _change_state(link, link.reset(), await_reply)
         link.values.clear()
         link.names_by_shape.clear()
     for name, value in session.values.items():
         if link.values.get(name) == value:
             continue
-        # The connection's value is unknown until the server has replied.
-        link.values.pop(name, None)
-        _require_success(await await_reply(link.set_value(name, value)))
+        await _change_state(link, link.set_value(name, value), await_reply)
         link.values[name] = value
 
 
@@ -63,18 +65,28 @@
         The name under which the statement is prepared on this connection.
 
     Raises:
-        ConnectionNotRestoredError: The server refused; the connection must be closed.
+        ConnectionNotRestoredError: The server refused; the connection is closed.
         BackendLostError: The connection was lost.
     """
     name = link.names_by_shape.get(shape)
     if name is not None:
         return name
     name = f"p{len(link.names_by_shape)}"
-    _require_success(await await_reply(link.prepare(name, shape)))
+    await _change_state(link, link.prepare(name, shape), await_reply)
     link.names_by_shape[shape] = name
     return name
 
 
-def _require_success(reply: ServerReply) -> None:
-    if reply.failure is not None:
-        raise ConnectionNotRestoredError(f"{reply.failure}: {reply.detail}")
+async def _change_state(
+    link: ServerLink, request: Awaitable[ServerReply], await_reply: AwaitReply
+) -> None:
+    """Wait until the server confirms a change of state; otherwise close."""
+    is_confirmed = False
+    try:
+        reply = await await_reply(request)
+        if reply.failure is not None:
+            raise ConnectionNotRestoredError(f"{reply.failure}: {reply.detail}")
+        is_confirmed = True
+    finally:
+        if not is_confirmed:
+            link.close()
--- a/pollencleat/engine/sessions_test.py
+++ b/pollencleat/engine/sessions_test.py
@@ -95,10 +95,16 @@
     current: Work | None = None
     committed: list[str] = field(default_factory=list)
     links: list["ModelLink"] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
 
     def next_fault(self):
         return self.faults.pop(0) if self.faults else "none"
 
+    def fail(self, violation):
+        """Note a violation, because the executor handles the error that is raised."""
+        self.violations.append(violation)
+        raise GuaranteeViolatedError(violation)
+
 
 class ModelLink:
     """A connection to the model server.
@@ -151,7 +157,7 @@
     async def begin(self, begin, at_least):
         def effect():
             if self.owner is not None:
-                raise GuaranteeViolatedError("begin inside a transaction")
+                self.server.fail("begin inside a transaction")
             self.owner = self.server.current_session
             return self._reply()
 
@@ -171,21 +177,17 @@
     def _check(self, work, prepared_name):
         current_session = self.server.current_session
         if self.server_values != current_session.values:
-            raise GuaranteeViolatedError(
+            self.server.fail(
                 f"{self.server_values} instead of {current_session.values}"
             )
         if self.owner not in (None, current_session):
-            raise GuaranteeViolatedError(
-                "statement ran in another session's transaction"
-            )
+            self.server.fail("statement ran in another session's transaction")
         if current_session.in_transaction and self.owner is not current_session:
-            raise GuaranteeViolatedError(
-                "statement ran outside its session's transaction"
-            )
+            self.server.fail("statement ran outside its session's transaction")
         if work.prepared_name:
             shape = self.server_names.get(prepared_name)
             if shape != current_session.shapes[work.prepared_name]:
-                raise GuaranteeViolatedError(f"{work.prepared_name} executes {shape}")
+                self.server.fail(f"{work.prepared_name} executes {shape}")
 
     def _commit_writes(self):
         self.server.committed.extend(self.writes)
@@ -194,7 +196,7 @@
     async def commit(self, commit):
         def effect():
             if self.owner is not self.server.current_session:
-                raise GuaranteeViolatedError("commit of another session's transaction")
+                self.server.fail("commit of another session's transaction")
             self._commit_writes()
             self.owner = None
             return self._reply()
@@ -226,7 +228,7 @@
     async def reset(self):
         def effect():
             if self.owner is not None:
-                raise GuaranteeViolatedError("reset inside a transaction")
+                self.server.fail("reset inside a transaction")
             self.server_values.clear()
             self.server_names.clear()
             return self._reply()
@@ -365,6 +367,8 @@
         self.executors[index] = self._make_executor()
 
     def check(self):
+        if self.server.violations:
+            raise GuaranteeViolatedError("; ".join(self.server.violations))
         committed = self.server.committed
         if len(committed) != len(set(committed)):
             raise GuaranteeViolatedError("a write was committed twice")
@@ -460,7 +464,9 @@
             shape = Shape(access, generator.choice("xy"))
             step = generator.randrange(8)
             if step == 0:
-                sessions.set_value(index, generator.choice("ab"), "12"[seed % 2])
+                sessions.set_value(
+                    index, generator.choice("ab"), generator.choice("12")
+                )
             elif step == 1:
                 sessions.prepare(index, name, shape)
             elif step == 2:
@@ -544,6 +550,22 @@
 }
 
 
+def test_value_refused_in_a_transaction_stays_on_no_connection():
+    """The former value stayed on the pooled connection; other sessions ran with it."""
+    sessions = Sessions()
+    try:
+        sessions.set_value(0, "a", "1")
+        sessions.begin(0)
+        sessions.write(0, [])
+        sessions.set_value(0, "a", "2")
+        sessions.write(0, ["refused"])
+        sessions.roll_back(0, [])
+        sessions.write(1, [])
+        sessions.check()
+    finally:
+        sessions.close()
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_random_sessions_violate_no_guarantee(seed):
     run_random_steps(seed)
