LOST: a replica with a part of its former log does not count as whole

Cause: a replica that started again under its id counted as one without its log only while the log was empty. One that had received a part of it again made the choice look complete, and the other replica, which lacked the commits, was promoted. Moreover the known position was that of the latest report: a low report of the restarted server before the attempt hid the loss.

Fix: a log counts as lost if it ends before the highest entry that its server was known to have, less what promotions have rolled back since. How far is in the history of terms, so that a replica that was rolled back counts as whole and no choice waits for an old primary that is not needed. After an attempt that was not published, nobody knows how far logs were rolled back; there only an empty log counts as lost, as before.

The existing tests give the known positions as log ends now, with the same values.

Not covered: what a server had received after the last report that the promoter's node got from it. Positions in replies to statements are sampled at each tick, since engine/access.py is not changed here.

--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from pollencleat.core.bounds import AcknowledgedBounds
+from pollencleat.core.bounds import AcknowledgedBounds, is_before, log_end_of
 from pollencleat.core.data import (
     Fleet,
     GroupTerm,
@@ -90,6 +90,9 @@
             answered again.
         applied: Log position in the latest statement reply that carried one.
         applied_sent_at_s: When the request of that reply was sent.
+        highest_reported: Highest log position that the latest reports have shown at a
+            call of note_reports; a lower report shows that the server was rolled back,
+            or that it has restarted without its log.
         tracks_requests: Every request to the server is recorded, so that the time
             without an answer is exact; otherwise the server's position is sampled.
         open_requests: Requests that are neither answered nor abandoned.
@@ -112,6 +115,7 @@
     refused_at_s: float | None = None
     applied: Position | None = None
     applied_sent_at_s: float = -1e9
+    highest_reported: Position | None = None
     tracks_requests: bool = False
     open_requests: int = 0
     unanswered_since_s: float | None = None
@@ -120,6 +124,22 @@
     backoff_s: float = 0.0
     primary_confirmed_in: tuple[int, float] = (0, -1e9)
 
+    def note_reports(self) -> Position | None:
+        """Note the log position in the latest reports, if it is the highest so far.
+
+        Returns:
+            The highest position; None if the server has reported none.
+        """
+        reported = [] if self.status is None else [log_end_of(self.status)]
+        for position in (*reported, self.applied):
+            if position is None:
+                continue
+            if self.highest_reported is None or is_before(
+                self.highest_reported, position
+            ):
+                self.highest_reported = position
+        return self.highest_reported
+
     def record_request(self, now_s: float) -> None:
         """Record that a request was sent to the server."""
         self.tracks_requests = True
--- a/pollencleat/promotion/attempt.py
+++ b/pollencleat/promotion/attempt.py
@@ -17,7 +17,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from pollencleat.core.blackboard import Blackboard, ServerView
+from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.constants import (
     MAX_CLOCK_DRIFT,
     PLATFORM_PERMIT_S,
@@ -88,7 +88,7 @@
         last_crash_at_s: When this node last learned of the removal of a member that had
             not resigned; such a member may have acknowledged commits until its permit
             had expired.
-        known_position_by_server: Log positions known when the attempt began.
+        known_log_end_by_server: Last log entries known when the attempt began.
         is_promote_pending: A PromoteServer order is in progress.
         is_old_primary_asked: A probe of the old primary is in progress.
         is_withdrawn: The old primary still leads and is kept.
@@ -120,7 +120,7 @@
     reported_covered_logs: set[ServerLog] = field(default_factory=set)
     last_removal_at_s: float = -1e9
     last_crash_at_s: float = -1e9
-    known_position_by_server: dict[str, int] = field(default_factory=dict)
+    known_log_end_by_server: dict[str, Position] = field(default_factory=dict)
     is_promote_pending: bool = False
     is_old_primary_asked: bool = False
     is_withdrawn: bool = False
@@ -172,24 +172,15 @@
         },
         last_crash_at_s=board.last_crash_at_s(),
         last_removal_at_s=max(board.removal_learned_at_s.values(), default=-1e9),
-        known_position_by_server={
-            server_id: find_known_position(view)
+        known_log_end_by_server={
+            server_id: log_end
             for server_id, view in board.servers_by_id.items()
+            if (log_end := view.note_reports()) is not None
         },
         history=term.history,
     )
 
 
-def find_known_position(view: ServerView) -> int:
-    """Return the highest log position, of any term, in a server's latest reports."""
-    reported = [0]
-    if view.status is not None:
-        reported.append(view.status.received_position)
-    if view.applied is not None:
-        reported.append(view.applied.position)
-    return max(reported)
-
-
 def can_keep_old_primary(attempt: Attempt) -> bool:
     """Return whether the old primary may be kept if it answers again.
 
--- a/pollencleat/promotion/choice.py
+++ b/pollencleat/promotion/choice.py
@@ -110,23 +110,37 @@
     """
     if not history:
         return True
-    common_position = log_end.position
-    for start in history:
-        if start.term > log_end.term:
-            common_position = min(common_position, start.start_position)
-    return common_position >= history[-1].start_position
+    return kept_position(history, log_end) >= history[-1].start_position
+
+
+def kept_position(history: tuple[TermStart, ...], log_end: Position) -> int:
+    """Return up to where no promotion has rolled back a log.
+
+    Args:
+        history: Starts of a group's latest terms, oldest first.
+        log_end: Term and position of the log's last entry.
+
+    Returns:
+        The position up to which the log is the same as that of the latest primary.
+    """
+    later_starts = [
+        start.start_position for start in history if start.term > log_end.term
+    ]
+    return min((log_end.position, *later_starts))
 
 
 def has_lost_log(attempt: Attempt, server_id: str) -> bool:
     """Return whether a server restarted without its former log.
 
+    Such a server may have received a part of it again.
+
     Args:
         attempt: The attempt, with the answers of the current round.
         server_id: A server.
 
     Returns:
-        True if its log is empty now and was not empty when the attempt began; False if
-        it has not answered.
+        True if its log lacks entries that it had when the attempt began, and that no
+        promotion has rolled back; False if it has not answered.
     """
     status = attempt.statuses_by_server.get(server_id)
     if status is None:
@@ -134,8 +148,27 @@
     if not status.read_only and status.term >= attempt.log_term:
         # This attempt has already promoted the server, and the answer was lost.
         return False
-    known = attempt.known_position_by_server.get(server_id, 0)
-    return status.received_position == 0 and known > 0
+    kept = find_kept_position(attempt, server_id)
+    history = attempt.history
+    published_term = history[-1].term if history else attempt.log_term - 1
+    if status.term > published_term:
+        # An unpublished attempt may have rolled it back, nobody knows how far.
+        kept = min(kept, 1)
+    return status.received_position < kept
+
+
+def find_kept_position(attempt: Attempt, server_id: str) -> int:
+    """Return up to where a server's log must reach unless it was lost.
+
+    Args:
+        attempt: The attempt, with what was known when it began.
+        server_id: A server.
+
+    Returns:
+        The position; 0 if nothing is known of its log.
+    """
+    known = attempt.known_log_end_by_server.get(server_id)
+    return 0 if known is None else kept_position(attempt.history, known)
 
 
 def has_every_acknowledged_commit(
@@ -228,8 +261,8 @@
         return False
     if old_status.term >= attempt.log_term:
         return False
-    known = attempt.known_position_by_server.get(attempt.promotion.old_primary, 0)
-    if old_status.received_position < known:
+    kept = find_kept_position(attempt, attempt.promotion.old_primary)
+    if old_status.received_position < kept:
         return False
     if not reaches_latest_term(attempt.history, log_end_of(old_status)):
         return False
--- a/pollencleat/promotion/choice_test.py
+++ b/pollencleat/promotion/choice_test.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +18,7 @@
 from pollencleat.promotion.choice import (
     choose_server,
     has_every_acknowledged_commit,
+    has_lost_log,
     has_old_primary_final_log,
     reaches_latest_term,
 )
@@ -36,6 +39,10 @@
     return attempt
 
 
+def make_log_ends(positions):
+    return {server_id: Position(3, number) for server_id, number in positions.items()}
+
+
 def make_group(count, servers=SERVERS):
     return DatabaseGroup("g", "g", (), servers, count)
 
@@ -82,7 +89,7 @@
 def test_replica_that_lost_its_log_counts_as_one_that_does_not_answer():
     """Its answer of an empty log made a choice without its commits look complete."""
     attempt = make_attempt({"old": None, "r1": make_status(5), "r2": make_status(0)})
-    attempt.known_position_by_server = {"r1": 5, "r2": 6}
+    attempt.known_log_end_by_server = make_log_ends({"r1": 5, "r2": 6})
     attempt.unconfirmed_incarnations = {"m-1"}
     group = make_group(1, ("old", "r1", "r2"))
     assert choose_server(attempt, group.server_ids, ()) == "r1"
@@ -91,6 +98,43 @@
     assert has_every_acknowledged_commit(attempt, group, "r1")
 
 
+def test_replica_with_a_part_of_its_log_counts_as_one_that_does_not_answer():
+    """Only an empty log counted as lost; about 180 commits were lost (review, 1)."""
+    attempt = make_attempt({"old": None, "r1": make_status(5), "r2": make_status(3)})
+    attempt.known_log_end_by_server = make_log_ends({"r1": 5, "r2": 6})
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert not has_every_acknowledged_commit(attempt, group, "r1")
+    attempt.old_primary_status = make_status(5)
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
+def test_replica_that_a_promotion_rolled_back_counts_as_whole():
+    """A choice would wait for an old primary that is not needed."""
+    attempt = make_attempt({"old": None, "r1": make_status(5), "r2": make_status(4)})
+    attempt.history = (TermStart(2, 0), TermStart(3, 4))
+    attempt.known_log_end_by_server = {"r1": Position(3, 5), "r2": Position(2, 6)}
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
+def test_replica_that_an_unpublished_promotion_rolled_back_counts_as_whole():
+    """Its log follows a primary of which the members know no start."""
+    statuses = {"old": None, "r1": make_status(5), "r2": make_status(4)}
+    statuses = {
+        server_id: status and replace(status, term=4)
+        for server_id, status in statuses.items()
+    }
+    attempt = make_attempt(statuses)
+    attempt.log_term = 5
+    attempt.history = (TermStart(2, 0), TermStart(3, 2))
+    attempt.known_log_end_by_server = make_log_ends({"r1": 5, "r2": 6})
+    attempt.unconfirmed_incarnations = {"m-1"}
+    group = make_group(1, ("old", "r1", "r2"))
+    assert has_every_acknowledged_commit(attempt, group, "r1")
+
+
 def test_choice_is_always_safe_without_acknowledging_replicas():
     attempt = make_attempt({"r1": make_status(1), "r2": None})
     assert has_every_acknowledged_commit(attempt, make_group(0), "r1")
@@ -114,7 +158,7 @@
     """Regression (make demo): a killed primary restarted with an empty log, was the
     only server to answer in time, and was promoted again."""
     attempt = make_attempt({"old": make_status(0), "r1": None, "r2": None})
-    attempt.known_position_by_server = {"old": 7, "r1": 7, "r2": 6}
+    attempt.known_log_end_by_server = make_log_ends({"old": 7, "r1": 7, "r2": 6})
     servers = ("old", "r1", "r2")
     assert choose_server(attempt, servers, ()) is None
     attempt.statuses_by_server["r2"] = make_status(6)
@@ -127,13 +171,13 @@
     attempt = make_attempt(
         {"old": None, "r1": make_status(0, read_only=False, term=4), "r2": None}
     )
-    attempt.known_position_by_server = {"r1": 10, "r2": 10}
+    attempt.known_log_end_by_server = make_log_ends({"r1": 10, "r2": 10})
     assert choose_server(attempt, ("old", "r1", "r2"), ()) == "r1"
 
 
 def test_server_is_chosen_if_all_restarted_empty():
     attempt = make_attempt({"old": make_status(0), "r1": make_status(0)})
-    attempt.known_position_by_server = {"old": 7, "r1": 7}
+    attempt.known_log_end_by_server = make_log_ends({"old": 7, "r1": 7})
     assert choose_server(attempt, ("old", "r1"), ()) == "old"
 
 
@@ -240,6 +284,29 @@
     assert reaches_latest_term(history, log_end) == (log[: len(start)] == start)
 
 
+@given(draw_terms(), st.data())
+def test_log_counts_as_lost_exactly_if_it_lacks_what_no_promotion_rolled_back(
+    terms, data
+):
+    """A log is known up to an entry; promotions may have rolled it back since."""
+    history, logs = terms
+    known_log = data.draw(st.sampled_from(logs))
+    known_log = known_log[: data.draw(st.integers(0, len(known_log)))]
+    known = Position(known_log[-1] if known_log else 0, len(known_log))
+    latest_log = logs[-1]
+    kept = 0
+    while kept < len(known_log) and known_log[: kept + 1] == latest_log[: kept + 1]:
+        kept += 1
+    log = latest_log[: data.draw(st.integers(0, len(latest_log)))]
+    term = history[-1].term
+    status = ServerStatus(term, len(log), len(log), log[-1] if log else 0, True, None)
+    attempt = make_attempt({"r1": status})
+    attempt.history = history
+    attempt.log_term = term + 1
+    attempt.known_log_end_by_server = {"r1": known}
+    assert has_lost_log(attempt, "r1") == (len(log) < kept)
+
+
 def test_old_primary_that_is_back_leads_again_if_no_other_has_its_commits():
     """Regression: a change stayed without a primary that had only lost its entry."""
     statuses = {"old": make_status(9), "r1": make_status(5), "r2": make_status(0)}
@@ -294,7 +361,7 @@
     """Regression: only the members' reports counted, not what the promoter knew."""
     attempt = make_attempt({"old": make_status(0), "r1": make_status(5), "r2": None})
     attempt.old_primary_status = make_status(0)
-    attempt.known_position_by_server = {"old": 9}
+    attempt.known_log_end_by_server = make_log_ends({"old": 9})
     attempt.unconfirmed_incarnations = {"m-1"}
     group = make_group(1, ("old", "r1", "r2"))
     assert not has_every_acknowledged_commit(attempt, group, "r1")
--- a/pollencleat/routing/freshness.py
+++ b/pollencleat/routing/freshness.py
@@ -35,6 +35,7 @@
     view.refused_at_s = None
     if sent_at_s < view.status_sent_at_s:
         return
+    view.note_reports()
     view.status = status
     view.status_sent_at_s = sent_at_s
     server = board.inventory.servers_by_id.get(server_id)
--- a/pollencleat/routing/replica_positions.py
+++ b/pollencleat/routing/replica_positions.py
@@ -92,6 +92,8 @@
     def _note_registered_servers(self, now_s: float) -> None:
         servers_by_id = self._board.inventory.servers_by_id
         for server_id, server in servers_by_id.items():
+            # A server that starts again without its log soon reports less.
+            self._board.server_view(server_id).note_reports()
             known = self._known_since.get(server_id)
             if known is None or known[0] != server.born_ms:
                 self._known_since[server_id] = (server.born_ms, now_s)
