LOST: departed logs are recorded while a promotion is in progress

Cause: no departed log was recorded while a promotion was in progress, so that the record was missing just while a choice waited for that log.

Fix: logs are added during a promotion too, and at once if the choice in progress may wait for them. The old primary's own lapse, which is usual then, is recorded after the usual 2 s, and nothing is dropped from the record meanwhile: the update would only make the publication of the next primary repeat its own.

The test "nothing is recorded while a promotion is in progress" asserted the fault. Three replace it: the log is recorded within two ticks, once, with the promotion unchanged, and is known after a restart of all (failed before: 0 updates); the old primary's lapse is not recorded at once; nothing is dropped from the record during a promotion.

--- a/pollencleat/routing/departed_log_records.py
+++ b/pollencleat/routing/departed_log_records.py
@@ -58,7 +58,7 @@
             due = {
                 changed
                 for (name, changed), since_s in changes.items()
-                if name == group_id and self._is_due(group, now_s - since_s)
+                if name == group_id and self._is_due(group, changed, now_s - since_s)
             }
             if due:
                 recorded = set(fleet.departed_logs_by_group.get(group_id, ()))
@@ -69,7 +69,9 @@
     def _find_changes(self, group: DatabaseGroup) -> set[ServerLog]:
         """Return the logs to be added to the record, and those to be dropped from it.
 
-        A log is added once at most: another node may know that it is covered.
+        A log is added once at most: another node may know that it is covered.  None is
+        dropped during a promotion, which would have to repeat its update; what is to
+        be added cannot wait, because the choice may wait for that log.
         """
         board = self._board
         group_id = group.group_id
@@ -91,6 +93,9 @@
             needed.clear()
             not_needed |= recorded
         added = needed - recorded - self._seen_recorded - not_needed
+        terms = board.fleet.terms_by_group.values()
+        if any(term.promotion is not None for term in terms):
+            return added
         return added | (recorded & not_needed)
 
     def _may_update(self, now_s: float) -> bool:
@@ -99,15 +104,11 @@
             return False
         if board.restored is not None:
             return False
-        terms = board.fleet.terms_by_group.values()
-        if any(term.promotion is not None for term in terms):
-            # A promotion should not have to repeat its update.
-            return False
         if now_s - self._updated_at_s < UPDATE_INTERVAL_S:
             return False
         return now_s - board.fleet_confirmed_at_s < MAX_READ_AGE_S
 
-    def _is_due(self, group: DatabaseGroup, for_s: float) -> bool:
+    def _is_due(self, group: DatabaseGroup, changed: ServerLog, for_s: float) -> bool:
         """Return whether this node records a change for its failure domain now."""
         board = self._board
         if not group.server_ids:
@@ -121,7 +122,19 @@
             # The process hands on what it knows before it ends.
             return True
         rank = sorted(gateways_by_domain).index(board.failure_domain)
-        return for_s >= RECORD_AFTER_S + rank * RANK_DELAY_S
+        wait_s = 0.0 if self._holds_up_choice(group, changed) else RECORD_AFTER_S
+        return for_s >= wait_s + rank * RANK_DELAY_S
+
+    def _holds_up_choice(self, group: DatabaseGroup, changed: ServerLog) -> bool:
+        """Return whether a choice in progress may wait because of a departed log.
+
+        An old primary usually lapses while it is replaced, which needs no update.
+        """
+        term = self._board.group_term(group.group_id)
+        if term is None or term.promotion is None:
+            return False
+        departed = self._board.departed_logs_by_group.get(group.group_id, ())
+        return changed in departed and (changed.server_id != term.promotion.old_primary)
 
     def _request_update(self, fleet: Fleet, now_s: float) -> None:
         board = self._board
--- a/pollencleat/routing/departed_log_records_test.py
+++ b/pollencleat/routing/departed_log_records_test.py
@@ -123,11 +123,50 @@
     assert group.run(RECORD_AFTER_S + 3.0, carries_out=False) >= 2
 
 
-def test_nothing_is_recorded_while_a_promotion_is_in_progress(group):
+def begin_promotion(group):
     promotion = Promotion("a/1", "n", "n-1", "p", False, "primary lost")
     term = GroupTerm("g", TERM + 1, "", promotion)
     group.adopt(replace(group.board.fleet, terms_by_group={"g": term}))
+
+
+def test_log_that_a_choice_waits_for_is_known_if_all_processes_restart_meanwhile(group):
+    """Nothing was recorded while a promotion was in progress (review, case 3)."""
+    begin_promotion(group)
+    terms = group.board.fleet.terms_by_group
+    assert group.run(2 * STEP_S) == 1
     assert group.run(10.0) == 0
+    assert group.recorded() == (LOG,)
+    assert group.board.fleet.terms_by_group == terms
+    started = group.start_anew()
+    assert started.open_logs() == [LOG]
+    assert not started.find_lost_commit()
+
+
+def test_old_primary_that_lapses_is_not_recorded_at_once():
+    """The update would meet the publication of the next primary in most promotions."""
+    group = RecordedGroup()
+    del group.servers["p"]
+    group.publish(lapsed=["p"])
+    begin_promotion(group)
+    assert group.run(RECORD_AFTER_S / 2) == 0
+    group.publish()
+    assert group.open_logs() == [ServerLog("p", 1)]
+    assert group.run(RECORD_AFTER_S / 2 - 2 * STEP_S) == 0
+
+
+def test_nothing_is_dropped_from_the_record_while_a_promotion_is_in_progress():
+    """A promotion does not have to repeat its update for what can wait."""
+    group = RecordedGroup()
+    server = group.servers.pop("s")
+    group.publish(lapsed=["s"])
+    assert group.run(RECORD_AFTER_S + 1.0) == 1
+    terms = group.board.fleet.terms_by_group
+    begin_promotion(group)
+    group.servers["s"] = server
+    group.publish()
+    assert group.run(10.0) == 0 and group.recorded() == (LOG,)
+    group.adopt(replace(group.board.fleet, terms_by_group=terms))
+    assert group.run(RECORD_AFTER_S + 1.0) == 1 and group.recorded() == ()
 
 
 def test_choice_waits_a_limited_time_for_servers_that_only_the_record_names():
