STALE: a new process gives no bound until it knows the departed logs

Cause: a process that started after a departure took the registered replicas for all logs, and gave a bound three seconds after its start.

Fix: a process gives no bound from replicas in its first 5 s. Cost: without a primary, reads of bounded age are refused for 5 s instead of 3 s after a process start.

Test, failed before: a bound was given 3.5 s after the start.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -11,6 +11,7 @@
 from pollencleat.core.errors import BackendError
 from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
+from pollencleat.routing.departed_log_records import RECORDED_WITHIN_S
 from pollencleat.tools.main import main
 from standins.line_server import LineServer
 
@@ -588,6 +589,7 @@
     cluster,
 ):
     """Positions of the replicas that are left do not bound what a gone one had."""
+    await asyncio.sleep(RECORDED_WITHIN_S)
     leaving = cluster.group.by_id("books-2")
     leaving.draining = True
     cluster.group.unreachable_replica_ids.add("books-1")
@@ -976,6 +978,7 @@
     cluster,
 ):
     """While the store is down, nobody knows of the replica that has just started."""
+    await asyncio.sleep(RECORDED_WITHIN_S)
     max_age_s = 1.5
     cluster.store.faults.down = True
     cluster.group.unreachable_replica_ids.update(("books-1", "books-2"))
--- a/pollencleat/routing/departed_log_records.py
+++ b/pollencleat/routing/departed_log_records.py
@@ -22,6 +22,10 @@
 UPDATE_INTERVAL_S = 1.0
 """Shortest time in seconds between two updates that this node requests."""
 
+RECORDED_WITHIN_S = 5.0
+"""Seconds within which a departure is recorded while the platform accepts updates, even
+if no node is left in two of the failure domains."""
+
 MAX_READ_AGE_S = 1.5
 """Largest age in seconds of the platform read that permits an update."""
 
--- a/pollencleat/routing/replica_positions.py
+++ b/pollencleat/routing/replica_positions.py
@@ -26,6 +26,7 @@
 from pollencleat.limits.growth import DEAD_CONNECTIONS_COUNTED_S
 from pollencleat.limits.shares import connections_allowed, reserved_connections
 from pollencleat.membership.permits import writable_term
+from pollencleat.routing.departed_log_records import RECORDED_WITHIN_S
 
 BOUND_WANTED_S = 1.0
 """Seconds after a read wanted a newer bound for which one is collected."""
@@ -63,6 +64,7 @@
         # Start time of each registered server, and when this node learned of it.
         self._known_since: dict[str, tuple[int, float]] = {}
         self._received_by_server: dict[str, Position] = {}
+        self._started_at_s: float | None = None
 
     def tick(self, now_s: float) -> None:
         """Request the statuses that are needed, and record the bounds that they give.
@@ -71,6 +73,8 @@
             now_s: Local time.
         """
         board = self._board
+        if self._started_at_s is None:
+            self._started_at_s = now_s
         self._note_registered_servers(now_s)
         for group_id, group in board.inventory.groups_by_id.items():
             if not group.acknowledging_replicas:
@@ -112,6 +116,9 @@
 
     def _record_bound(self, group: DatabaseGroup, now_s: float) -> None:
         board = self._board
+        if now_s - self._started_at_s < RECORDED_WITHIN_S:
+            # Logs may have departed before this process was there to see it.
+            return
         term = board.group_term(group.group_id)
         if term is None:
             return
--- a/pollencleat/routing/replica_positions_test.py
+++ b/pollencleat/routing/replica_positions_test.py
@@ -20,6 +20,7 @@
     ServerStatus,
     VmList,
 )
+from pollencleat.routing.departed_log_records import RECORDED_WITHIN_S
 from pollencleat.routing.replica_positions import (
     BOUND_WANTED_S,
     LOG_RECOVERY_S,
@@ -32,7 +33,7 @@
 class Replicas:
     """A node that has lost the primary p of a group with replicas r and s."""
 
-    def __init__(self, server_ids="prs", acknowledging=1):
+    def __init__(self, server_ids="prs", acknowledging=1, started_at_s=NOW_S - 10):
         self.board = Blackboard("n", "n-1", "a", "", "", random.Random(1))
         servers = {
             name: BackendServer(name, "g", "h", 1, "a", 4, 20) for name in server_ids
@@ -47,7 +48,7 @@
         )
         self.probed = []
         self.controller = ReplicaPositionController(self.board, self.probed.append)
-        self.controller.tick(NOW_S - 10)
+        self.controller.tick(started_at_s)
         self.probed.clear()
         self.board.bound_wanted_at_s["g"] = NOW_S
 
@@ -102,6 +103,24 @@
     assert replicas.bound() == Position(1, 41)
 
 
+def test_a_new_process_gives_no_bound_until_it_knows_the_departed_logs():
+    """Reads of a process that had restarted were 7 s old (review, case 5)."""
+    replicas = Replicas(started_at_s=NOW_S)
+    for at_s in (LOG_RECOVERY_S + 0.5, RECORDED_WITHIN_S - 0.1):
+        for server_id in "rs":
+            replicas.report(server_id, 40, NOW_S + at_s)
+        replicas.board.bound_wanted_at_s["g"] = NOW_S + at_s
+        assert replicas.bound(NOW_S, NOW_S + at_s) is None
+    departed = {ServerLog("s", 1): NOW_S + 4.0}
+    for logs, expected in ((departed, None), ({}, Position(1, 40))):
+        replicas.board.departed_logs_by_group["g"] = logs
+        now_s = NOW_S + RECORDED_WITHIN_S + 0.1
+        replicas.board.bound_wanted_at_s["g"] = now_s
+        for server_id in "rs":
+            replicas.report(server_id, 40, now_s)
+        assert replicas.bound(NOW_S, now_s) == expected
+
+
 def test_an_open_connection_shows_that_a_server_did_not_restart():
     """Regression (Volta, trouble-3): a pool without an open connection made its server
     count as restarted, and reads were refused for three seconds more."""
