LOST: a choice counts servers that may not be registered yet after an outage

Cause: a choice began before the first entry of that server came, for which the platform gives two seconds after its return. All registered replicas answered, so that the choice looked complete.

Fix: until two seconds after the store's return, one more server counts as one that does not answer; the choice then needs the old primary's final position or the members' reports. It waits for such a server no longer than these two seconds, so that a store that fails now and then delays no choice for good.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -642,6 +642,37 @@
     await wait_for(is_promoted, 5.0)
 
 
+async def test_commit_of_a_replica_that_started_while_the_store_was_down_is_not_lost(
+    cluster,
+):
+    """A choice began before the replica's entry came, and did not count it."""
+    cluster.store.faults.down = True
+    cluster.group.unreachable_replica_ids.update(("books-1", "books-2"))
+    started = await cluster.group.add_server("books-new", "a")
+    make_entry = started.make_store_entry
+    started.make_store_entry = lambda: None
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-new")).error
+    await asyncio.sleep(2.0)
+    await cluster.group.servers[0].stop()
+    cluster.store.faults.down = False
+    await asyncio.sleep(1.5)
+    started.make_store_entry = make_entry
+
+    async def is_promoted():
+        return any(
+            server.is_primary and server.is_running for server in cluster.group.servers
+        )
+
+    await wait_for(is_promoted)
+    (primary,) = [
+        server
+        for server in cluster.group.servers
+        if server.is_primary and server.is_running
+    ]
+    assert [entry.value for entry in primary.log][-1:] == ["only-on-new"]
+
+
 async def test_commit_that_only_a_resigned_node_has_seen_is_not_lost(cluster):
     """Guards against a bound of acknowledged commits that leaves resigned nodes out."""
     staying = cluster.nodes[1]
--- a/pollencleat/core/blackboard.py
+++ b/pollencleat/core/blackboard.py
@@ -271,6 +271,8 @@
             fleet state; their servers may come back.
         lapsed_logs_by_group: Logs of the servers that lapsed while this node knew them.
         covered_logs_by_group: The newest departed logs that were dropped.
+        servers_complete_at_s: Local time from which every live server is registered
+            again after an outage of the platform.
         vms_followers: Called whenever another VM list has been adopted, before any
             decision is based on it.
     """
@@ -319,6 +321,7 @@
     )
     recorded_logs: set[ServerLog] = field(default_factory=set)
     lapsed_logs_by_group: dict[str, set[ServerLog]] = field(default_factory=dict)
+    servers_complete_at_s: float = -1e9
     covered_logs_by_group: dict[str, tuple[ServerLog, ...]] = field(
         default_factory=dict
     )
--- a/pollencleat/core/constants.py
+++ b/pollencleat/core/constants.py
@@ -13,6 +13,10 @@
 PROMISE_DURATION_S = 1.6
 """Seconds for which a node that gave a promise promotes no server."""
 
+REREGISTRATION_GRACE_S = 2.0
+"""Time after a platform outage within which live servers register again, as documented
+by the platform."""
+
 MAX_CLOCK_DRIFT = 0.02
 """Largest relative difference between the rates of two nodes' clocks."""
 
--- a/pollencleat/membership/directory.py
+++ b/pollencleat/membership/directory.py
@@ -8,19 +8,17 @@
 was leaving.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
 import structlog
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import REREGISTRATION_GRACE_S
 from pollencleat.core.data import BackendServer, VmList
 from pollencleat.core.versions import era_of
 
-REREGISTRATION_GRACE_S = 2.0
-"""Time after a store outage within which live servers register again, as documented by
-the platform."""
-
 LONG_AGO_S = -1e9
 """Local time before every event."""
 
@@ -59,13 +57,18 @@
         """
         if not succeeded:
             self._is_store_unreachable = True
+            self._board.servers_complete_at_s = math.inf
             return
         now_s = self._clock()
         if self._is_store_unreachable:
             self._is_store_unreachable = False
-            self._store_returned_at_s = now_s
+            self._note_store_returned(now_s)
         self._remove_missing(now_s)
 
+    def _note_store_returned(self, now_s: float) -> None:
+        self._store_returned_at_s = now_s
+        self._board.servers_complete_at_s = now_s + REREGISTRATION_GRACE_S
+
     def replace_all(
         self, entries: dict[str, tuple[BackendServer, bool]], revision: int
     ) -> None:
@@ -78,7 +81,7 @@
         if era_of(revision) != era_of(self._changed_revision):
             # The store was restored: entries of the time since its copy are missing
             # until the servers have written them again.
-            self._store_returned_at_s = self._clock()
+            self._note_store_returned(self._clock())
         for server, leaving in entries.values():
             self.update(server, leaving, revision)
         for server_id in list(self._servers_by_id):
--- a/pollencleat/membership/directory_test.py
+++ b/pollencleat/membership/directory_test.py
@@ -1,9 +1,11 @@
+import math
 import random
 from dataclasses import replace
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import REREGISTRATION_GRACE_S
 from pollencleat.core.data import BackendServer, VmList
-from pollencleat.membership.directory import REREGISTRATION_GRACE_S, ServerDirectory
+from pollencleat.membership.directory import ServerDirectory
 
 SERVER = BackendServer("old", "g", "10.0.0.1", 8001, "a", 4, 20)
 
@@ -121,3 +123,15 @@
     directory.update(other, False, 3)
     directory.publish(3)
     assert lapsed_of(board) == ()
+
+
+def test_list_of_servers_is_complete_some_time_after_a_store_outage():
+    board, directory, clock = make_directory([SERVER])
+    assert board.servers_complete_at_s < clock["now"]
+    directory.record_call_result(False)
+    assert board.servers_complete_at_s == math.inf
+    clock["now"] += 5.0
+    directory.record_call_result(True)
+    assert board.servers_complete_at_s == clock["now"] + REREGISTRATION_GRACE_S
+    directory.record_call_result(True)
+    assert board.servers_complete_at_s == clock["now"] + REREGISTRATION_GRACE_S
--- a/pollencleat/promotion/missing_logs.py
+++ b/pollencleat/promotion/missing_logs.py
@@ -1,6 +1,7 @@
 """Logs of a group that no registered server has, and whether they may be needed."""
 
 from pollencleat.core.blackboard import Blackboard
+from pollencleat.core.constants import REREGISTRATION_GRACE_S
 from pollencleat.core.data import DatabaseGroup, ServerLog
 from pollencleat.promotion.attempt import (
     Attempt,
@@ -15,12 +16,19 @@
 that started since cannot tell."""
 
 
-def find_missing_logs(board: Blackboard, attempt: Attempt) -> tuple[str, ...]:
+NOT_REGISTERED = "not registered yet"
+"""Stands for the log of a server that may have started while the platform was down."""
+
+
+def find_missing_logs(
+    board: Blackboard, attempt: Attempt, waited_s: float
+) -> tuple[str, ...]:
     """Return logs that cannot be asked and may have acknowledged commits.
 
     Args:
         board: The node's state.
         attempt: The attempt.
+        waited_s: Seconds since the choice began.
 
     Returns:
         Ids of lapsed servers, and names of the departed logs that count still: those
@@ -44,9 +52,25 @@
         if log not in known and is_accounted_for(board, log, lapsed):
             continue
         names.append(f"{log.server_id}@{log.born_ms}")
+    if may_lack_servers(board, attempt, waited_s):
+        names.append(NOT_REGISTERED)
     return (*lapsed, *names)
 
 
+def may_lack_servers(board: Blackboard, attempt: Attempt, waited_s: float) -> bool:
+    """Return whether a server that acknowledges commits may not be registered yet.
+
+    Args:
+        board: The node's state.
+        attempt: The attempt.
+        waited_s: Seconds since the choice began; a platform that fails now and then
+            delays no choice for longer than servers take to register.
+    """
+    now_s = attempt.phase_started_at_s + waited_s
+    is_recent_outage = now_s < board.servers_complete_at_s
+    return is_recent_outage and waited_s < REREGISTRATION_GRACE_S
+
+
 def is_accounted_for(
     board: Blackboard, log: ServerLog, lapsed: tuple[str, ...]
 ) -> bool:
@@ -79,7 +103,7 @@
         primary is gone, and every possible writer has reported or is gone: the commits
         that are missing now cannot come back.
     """
-    if attempt.unconfirmed_incarnations:
+    if attempt.unconfirmed_incarnations or may_lack_servers(board, attempt, waited_s):
         return True
     if board.vms.lapsed_by_group.get(attempt.group_id):
         return True
--- a/pollencleat/promotion/steering.py
+++ b/pollencleat/promotion/steering.py
@@ -319,7 +319,7 @@
         if chosen is None:
             self._log_choice(attempt, "", "no server qualifies", ())
             return
-        missing_logs = find_missing_logs(self.board, attempt)
+        missing_logs = find_missing_logs(self.board, attempt, waited_s)
         is_complete = has_every_acknowledged_commit(
             attempt, group, chosen, missing_logs
         )
--- a/pollencleat/routing/departed_logs_test.py
+++ b/pollencleat/routing/departed_logs_test.py
@@ -1,5 +1,6 @@
 """Departed logs, against a model of the commits that depended on them."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -9,6 +10,7 @@
 
 from pollencleat.core.blackboard import Blackboard
 from pollencleat.core.bounds import AcknowledgedBounds
+from pollencleat.core.constants import REREGISTRATION_GRACE_S
 from pollencleat.core.data import (
     BackendServer,
     DatabaseGroup,
@@ -29,7 +31,11 @@
     choose_server,
     has_every_acknowledged_commit,
 )
-from pollencleat.promotion.missing_logs import can_waiting_help, find_missing_logs
+from pollencleat.promotion.missing_logs import (
+    NOT_REGISTERED,
+    can_waiting_help,
+    find_missing_logs,
+)
 from pollencleat.routing.departed_logs import (
     MAX_PROBE_INTERVAL_S,
     TRAFFIC_WAIT_S,
@@ -160,7 +166,7 @@
         chosen = choose_server(attempt, group.server_ids, ())
         if chosen is None:
             return False
-        missing = find_missing_logs(self.board, attempt)
+        missing = find_missing_logs(self.board, attempt, 0.0)
         if not has_every_acknowledged_commit(attempt, group, chosen, missing):
             return False
         return self.received[chosen] < self.acknowledged
@@ -330,6 +336,27 @@
     assert can_waiting_help(group.board, attempt, declared, 0.0)
 
 
+def test_choice_counts_a_server_that_may_not_be_registered_yet_for_a_limited_time():
+    """A replica that had started while the store was down had the only commits."""
+    group = Group()
+    group.leave("p")
+    declared = group.board.inventory.groups_by_id["g"]
+    attempt = group.make_attempt()
+    attempt.unconfirmed_incarnations = set()
+    board = group.board
+    for complete_at_s, waited_s, may_lack in (
+        (-1e9, 0.0, False),
+        (0.5, 0.4, True),
+        (0.5, 0.5, False),
+        (math.inf, 0.0, True),
+        (math.inf, REREGISTRATION_GRACE_S, False),
+    ):
+        board.servers_complete_at_s = complete_at_s
+        missing = find_missing_logs(board, attempt, waited_s)
+        assert (NOT_REGISTERED in missing) is may_lack
+        assert can_waiting_help(board, attempt, declared, waited_s) is may_lack
+
+
 def find_lost_commit(choose, acknowledging, count, make_controller):
     """Return whether a random history ends in a choice that loses a commit."""
     group = Group("rstuv"[:count], acknowledging, make_controller)
