--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -11,6 +11,7 @@
 from pollencleat.core.errors import BackendError
 from pollencleat.limits.retries import BURST, RETRY_RATIO
 from pollencleat.platform.clients import CLOSE_IDLE_AFTER_S
+from pollencleat.routing.departed_log_records import RECORDED_WITHIN_S
 from pollencleat.tools.main import main
 from standins.line_server import LineServer
 
@@ -223,6 +224,30 @@
     assert cluster.group.executed_statements[-1].values == (("tz", "a"),)
 
 
+async def test_value_rejected_in_a_transaction_stays_on_no_connection(cluster):
+    """Other sessions' statements ran with the former value."""
+    primary = cluster.group.servers[0]
+    client = await cluster.connect("main-db")
+    await client.query("SET tz a")
+    await client.query("BEGIN")
+    assert not (await client.query("READ k")).error
+    answer = None
+    for number in range(20):
+        await client.query(f"SET tz b{number}")
+        # A probe's request may be rejected instead.
+        primary.faults.reject_proxy_statements = 1
+        answer = await client.query("READ k")
+        if answer.error:
+            break
+    assert answer.error == "ABORTED"
+    primary.faults.reject_proxy_statements = 0
+    assert (await client.query("ROLLBACK")).state == "I"
+    other = await cluster.connect("main-db")
+    for _ in range(3):
+        assert not (await other.query("READ k")).error
+        assert cluster.group.executed_statements[-1].values == ()
+
+
 async def test_route_changes_take_effect_and_older_versions_are_ignored(cluster):
     await cluster.put_configuration(routes={"new-db": ("primary", None)})
 
@@ -564,6 +589,7 @@
     cluster,
 ):
     """Positions of the replicas that are left do not bound what a gone one had."""
+    await asyncio.sleep(RECORDED_WITHIN_S)
     leaving = cluster.group.by_id("books-2")
     leaving.draining = True
     cluster.group.unreachable_replica_ids.add("books-1")
@@ -616,6 +642,37 @@
     await wait_for(is_promoted, 5.0)
 
 
+async def test_commit_of_a_replica_that_started_while_the_store_was_down_is_not_lost(
+    cluster,
+):
+    """A choice began before the replica's entry came, and did not count it."""
+    cluster.store.faults.down = True
+    cluster.group.unreachable_replica_ids.update(("books-1", "books-2"))
+    started = await cluster.group.add_server("books-new", "a")
+    make_entry = started.make_store_entry
+    started.make_store_entry = lambda: None
+    client = await cluster.connect("main-db")
+    assert not (await client.query("WRITE k only-on-new")).error
+    await asyncio.sleep(2.0)
+    await cluster.group.servers[0].stop()
+    cluster.store.faults.down = False
+    await asyncio.sleep(1.5)
+    started.make_store_entry = make_entry
+
+    async def is_promoted():
+        return any(
+            server.is_primary and server.is_running for server in cluster.group.servers
+        )
+
+    await wait_for(is_promoted)
+    (primary,) = [
+        server
+        for server in cluster.group.servers
+        if server.is_primary and server.is_running
+    ]
+    assert [entry.value for entry in primary.log][-1:] == ["only-on-new"]
+
+
 async def test_commit_that_only_a_resigned_node_has_seen_is_not_lost(cluster):
     """Guards against a bound of acknowledged commits that leaves resigned nodes out."""
     staying = cluster.nodes[1]
@@ -952,6 +1009,7 @@
     cluster,
 ):
     """While the store is down, nobody knows of the replica that has just started."""
+    await asyncio.sleep(RECORDED_WITHIN_S)
     max_age_s = 1.5
     cluster.store.faults.down = True
     cluster.group.unreachable_replica_ids.update(("books-1", "books-2"))
