Stand-in servers: segments, failed transactions, numbers of connections and transactions

Answers can be cut anywhere, also between CR and LF; a second answer never comes amid another one. A server records on which connection and in which transaction a statement ran, its commits, and what it cannot parse, also a BEGIN in a transaction or a COMMIT outside one.

--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 from dataclasses import dataclass
 
 from pollencleat.daemon.entry_vm import PlatformApplication
@@ -9,12 +10,16 @@
 from pollencleat.reports.logs import NonBlockingOutput
 from standins.line_server import ServerGroup
 from standins.object_store import ObjectStoreStandIn
+from standins.segments import cut_into_segments
 
 HOST = "127.0.0.1"
 ZONES = ("a", "b", "c")
 READY_LIMIT_S = 12.0
 """Timeout for all entry VMs to accept writes; joining takes a second or two."""
 
+SEGMENT_PAUSE_S = 0.01
+"""Longest pause in seconds between two segments of a request."""
+
 
 @dataclass(frozen=True)
 class LineAnswer:
@@ -28,12 +33,17 @@
 
 
 class LineClient:
-    """A caller that speaks the platform's line protocol."""
+    """A caller that speaks the platform's line protocol.
+
+    Attributes:
+        segments: Draws the segments that requests are sent in; None sends each at once.
+    """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         """Create a client on an open connection."""
         self.reader = reader
         self.writer = writer
+        self.segments: random.Random | None = None
         self._next_id = int.from_bytes(os.urandom(4), "big") << 32
 
     @classmethod
@@ -60,9 +70,20 @@
 
     async def send(self, request_id: str, text: str) -> LineAnswer:
         """Send a statement and read its answer."""
-        self.writer.write(f"QUERY {request_id} {text}\r\n".encode())
+        data = f"QUERY {request_id} {text}\r\n".encode()
+        if self.segments is None:
+            self.writer.write(data)
+            return await self.read_answer()
+        for segment in cut_into_segments(data, self.segments):
+            self.writer.write(segment)
+            await asyncio.sleep(self.segments.uniform(0.0, SEGMENT_PAUSE_S))
         return await self.read_answer()
 
+    def peek_unread(self) -> bytes:
+        """Return what has arrived and is still to be read."""
+        # StreamReader has no public access to what it has buffered.
+        return bytes(self.reader._buffer)
+
     def send_without_reading(self, text: str) -> None:
         """Send a statement with a new id, without reading its answer."""
         self.writer.write(f"QUERY {self.next_id()} {text}\r\n".encode())
--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -10,12 +10,17 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
+from standins.segments import cut_into_segments
+
 MAX_LINE_BYTES = 1024 * 1024
 LINE_END = b"\r\n"
 POLL_INTERVAL_S = 0.002
+SEGMENT_PAUSE_S = 0.01
+"""Longest pause in seconds between two segments of an answer."""
+
 ACKNOWLEDGE_TIMEOUT_S = 2.0
 """Longest time that a commit waits for replicas before it fails."""
 
@@ -46,6 +51,9 @@
         repeat_delay_s: Range of the seconds until the second answer is sent.
         busy_probability: Probability that a statement is rejected with BUSY, also one
             that needs no slot.
+        split_probability: Probability that an answer is sent in several segments.
+        fails_transactions: Whether an error fails the open transaction, which then
+            accepts only its end.
     """
 
     lose_responses: int = 0
@@ -55,10 +63,16 @@
     repeat_probability: float = 0.0
     repeat_delay_s: tuple[float, float] = (0.0, 0.3)
     busy_probability: float = 0.0
+    split_probability: float = 0.0
+    fails_transactions: bool = False
 
 
 @dataclass
 class _Session:
+    connection: int = 0
+    transaction: int = 0
+    has_failed: bool = False
+    output: asyncio.Lock = field(default_factory=asyncio.Lock)
     values: dict[str, str] = field(default_factory=dict)
     prepared_statements: dict[str, tuple[str, str]] = field(default_factory=dict)
     in_transaction: bool = False
@@ -66,6 +80,12 @@
     writes: list[tuple[str, str, str]] = field(default_factory=list)
     term: int = 0
 
+    def end_transaction(self) -> None:
+        """Leave the open transaction."""
+        self.in_transaction = False
+        self.has_failed = False
+        self.transaction = 0
+
 
 @dataclass(frozen=True)
 class ExecutedStatement:
@@ -78,6 +98,9 @@
         row: Row that a read returned.
         log: The server's append-only log.
         applied_count: Number of leading log entries that the statement saw.
+        connection: Number of the connection, which no other one of the group has.
+        transaction: Number of the open transaction, which no other one of the group
+            has; 0 outside of transactions.
     """
 
     server_id: str
@@ -90,6 +113,8 @@
     row: str = ""
     log: tuple[LogEntry, ...] | list[LogEntry] = ()
     applied_count: int = 0
+    connection: int = 0
+    transaction: int = 0
 
 
 class LineServer:
@@ -232,7 +257,7 @@
             return
         self._writers.add(writer)
         self.connections += 1
-        session = _Session()
+        session = _Session(next(self.group.connection_numbers))
         try:
             startup = (await _read_line(reader)).split()
             if not self._accepts_startup(startup):
@@ -242,23 +267,27 @@
                 writer.write(b"ERROR TOOMANY\r\n")
                 return
             self.peak_connections = max(self.peak_connections, self.connections)
-            self._send(writer, f"READY I {self.position()}\r\n")
+            await self._send(session, writer, f"READY I {self.position()}\r\n")
             while True:
                 line = await _read_line(reader)
+                self._record_line(session, f"receives {line!r}")
                 if line == "TERMINATE":
                     return
                 word, _, rest = line.partition(" ")
                 request_id, _, text = rest.partition(" ")
                 if word != "QUERY" or not text:
-                    self.group.malformed_lines.append(line)
-                    self._send(writer, self._error_response(session, "MALFORMED"))
+                    response = self._reject_malformed(session, line)
+                    await self._send(session, writer, response)
                     continue
                 self.group.received_request_ids.add(request_id)
-                response = await self._respond(session, request_id, text)
+                try:
+                    response = await self._respond(session, request_id, text)
+                except (IndexError, ValueError):
+                    response = self._reject_malformed(session, line)
                 if response is None:
                     writer.transport.abort()
                     return
-                self._send(writer, response)
+                await self._send(session, writer, response)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             return
@@ -267,21 +296,53 @@
             self._writers.discard(writer)
             writer.close()
 
-    def _send(self, writer: asyncio.StreamWriter, response: str) -> None:
+    async def _send(
+        self, session: _Session, writer: asyncio.StreamWriter, response: str
+    ) -> None:
         """Send an answer, and at times a second time, later."""
         data = response.encode()
-        writer.write(data)
+        await self._write_whole(session, writer, data)
         faults, generator = self.faults, self.group.random
         if generator.random() >= faults.repeat_probability:
             return
 
-        def repeat() -> None:
+        async def repeat() -> None:
+            await asyncio.sleep(delay_s)
             if not writer.is_closing():
                 self.group.second_answers += 1
-                writer.write(data)
+                await self._write_whole(session, writer, data, "again ")
 
         delay_s = generator.uniform(*faults.repeat_delay_s)
-        asyncio.get_running_loop().call_later(delay_s, repeat)
+        self.group.start_task(repeat())
+
+    async def _write_whole(
+        self,
+        session: _Session,
+        writer: asyncio.StreamWriter,
+        data: bytes,
+        note: str = "",
+    ) -> None:
+        """Send an answer, at times in segments, before any other answer."""
+        generator = self.group.random
+        segments = [data]
+        if generator.random() < self.faults.split_probability:
+            segments = cut_into_segments(data, generator)
+        async with session.output:
+            self._record_line(session, f"answers {note}{data!r}")
+            writer.write(segments[0])
+            for segment in segments[1:]:
+                await asyncio.sleep(generator.uniform(0.0, SEGMENT_PAUSE_S))
+                writer.write(segment)
+
+    def _record_line(self, session: _Session, text: str) -> None:
+        self.group.record_line(
+            f"{self.server_id} connection {session.connection} {text}"
+        )
+
+    def _reject_malformed(self, session: _Session, line: str) -> str:
+        """Record a line that the proxy must never send."""
+        self.group.malformed_lines.append(line)
+        return self._error_response(session, "MALFORMED")
 
     def _accepts_startup(self, startup: list[str]) -> bool:
         if len(startup) < 3 or startup[0] != "STARTUP" or startup[1] != self.group.name:
@@ -296,6 +357,8 @@
         if request_id == "-" and self.faults.reject_proxy_statements:
             self.faults.reject_proxy_statements -= 1
             return self._error_response(session, "BUSY")
+        if session.has_failed and text not in ("COMMIT", "ROLLBACK"):
+            return self._error_response(session, "MALFORMED")
         if self.group.random.random() < self.faults.busy_probability:
             return self._error_response(session, "BUSY")
         words = text.split(" ")
@@ -328,20 +391,23 @@
             session.values.clear()
             session.prepared_statements.clear()
         elif verb == "BEGIN":
+            if session.in_transaction:
+                return self._reject_malformed(session, "BEGIN in a transaction")
             if len(words) == 1 and not self.is_primary:
                 return self._error_response(session, "READONLY")
             session.in_transaction = True
             session.read_only = len(words) > 1
             session.term = self.term
+            session.transaction = next(self.group.transaction_numbers)
         elif verb == "ROLLBACK":
-            session.in_transaction = False
+            session.end_transaction()
             session.writes.clear()
         elif verb == "COMMIT":
             return await self._commit(session, request_id)
         elif verb in ("READ", "WRITE", "EXECUTE"):
             return await self._execute_statement(session, request_id, words, text)
         else:
-            return self._execute_control_command(session, words)
+            return self._execute_control_command(session, words, text)
         return f"COMPLETE -\r\n{self._ready_line(session)}"
 
     async def _execute_statement(
@@ -361,21 +427,9 @@
             return self._error_response(session, "READONLY")
         await asyncio.sleep(self.group.statement_duration_s)
         row = self._read_item(session, item) if access == "READ" else ""
-        values = tuple(sorted(session.values.items()))
         receipt = self._next_receipt(request_id)
         self.group.executed_statements.append(
-            ExecutedStatement(
-                self.server_id,
-                request_id,
-                text,
-                values,
-                shape,
-                session.in_transaction,
-                receipt,
-                row,
-                self.log,
-                self.applied_count,
-            )
+            self._describe_run(session, request_id, text, receipt, shape, row)
         )
         if access == "READ":
             return f"DATAROW {row}\r\nCOMPLETE {receipt}\r\n" + self._ready_line(
@@ -386,6 +440,30 @@
             return self._error_response(session, "FAILED")
         return f"COMPLETE {receipt}\r\n{self._ready_line(session)}"
 
+    def _describe_run(
+        self,
+        session: _Session,
+        request_id: str,
+        text: str,
+        receipt: str,
+        shape: str = "",
+        row: str = "",
+    ) -> ExecutedStatement:
+        return ExecutedStatement(
+            self.server_id,
+            request_id,
+            text,
+            tuple(sorted(session.values.items())),
+            shape,
+            session.in_transaction,
+            receipt,
+            row,
+            self.log,
+            self.applied_count,
+            session.connection,
+            session.transaction,
+        )
+
     def _next_receipt(self, request_id: str) -> str:
         return f"{self.server_id}.{next(self.group.run_numbers):x}.{request_id}"
 
@@ -399,15 +477,25 @@
         return "none"
 
     async def _commit(self, session: _Session, request_id: str) -> str:
+        if not session.in_transaction:
+            line = f"COMMIT {request_id} outside a transaction"
+            return self._reject_malformed(session, line)
+        if session.has_failed:
+            session.end_transaction()
+            session.writes.clear()
+            return self._error_response(session, "ABORTED")
         if session.writes and not self.is_primary:
-            session.in_transaction = False
+            session.end_transaction()
             session.writes.clear()
             return self._error_response(session, "READONLY")
+        receipt = self._next_receipt(request_id)
+        self.group.executed_commits.append(
+            self._describe_run(session, request_id, "COMMIT", receipt)
+        )
         is_replicated = await self._append_to_log(session)
-        session.in_transaction = False
+        session.end_transaction()
         if not is_replicated:
             return self._error_response(session, "FAILED")
-        receipt = self._next_receipt(request_id)
         return f"COMPLETE {receipt}\r\n{self._ready_line(session)}"
 
     async def _append_to_log(self, session: _Session) -> bool:
@@ -422,7 +510,9 @@
         self.group.replicate(self)
         return await self.group.wait_for_replicas(self, self.log[-1])
 
-    def _execute_control_command(self, session: _Session, words: list[str]) -> str:
+    def _execute_control_command(
+        self, session: _Session, words: list[str], text: str = ""
+    ) -> str:
         verb = words[0]
         if verb == "STATUS":
             self.status_calls += 1
@@ -437,16 +527,21 @@
                 self.is_primary = False
                 self.group.catch_up(self)
         else:
-            return self._error_response(session, "MALFORMED")
+            return self._reject_malformed(session, text)
         role = "primary" if self.is_primary else "replica"
         row = f"{role} {self.term} {self.received()} {self.paused_for_term} 0 0 1"
         return f"DATAROW {row}\r\nCOMPLETE -\r\n{self._ready_line(session)}"
 
     def _error_response(self, session: _Session, code: str) -> str:
+        session.has_failed = session.in_transaction and (
+            session.has_failed or self.faults.fails_transactions
+        )
         return f"ERROR {code} {self.server_id}\r\n{self._ready_line(session)}"
 
     def _ready_line(self, session: _Session) -> str:
-        state = "T" if session.in_transaction else "I"
+        state = "I"
+        if session.in_transaction:
+            state = "E" if session.has_failed else "T"
         return f"READY {state} {self.position()}\r\n"
 
 
@@ -476,13 +571,15 @@
         promotion_delay_s: Seconds that a promotion takes.
         connection_limit: Limit on open connections per server.
         first_term: Term of the servers at the start.
-        executed_statements: Statements that the servers ran, in order.
+        executed_statements: Reads and writes that the servers ran, in order.
+        executed_commits: Commits that the servers ran, in order.
         received_request_ids: Ids of the requests that reached a server.
         malformed_lines: Lines that are no statement, which the proxy must never send.
         second_answers: Number of answers that were sent a second time.
         random: Draws the faults that happen with a probability.
         record_event: Called with a line for each promotion, with the log positions of
             all servers.
+        record_line: Called with a line for each request and answer of a connection.
         unreachable_replica_ids: Ids of replicas that receive no entries from the
             primary.
         left_server_ids: Ids of servers that have left for good.
@@ -508,12 +605,16 @@
         self.connection_limit = connection_limit
         self.first_term = first_term
         self.executed_statements: list[ExecutedStatement] = []
+        self.executed_commits: list[ExecutedStatement] = []
         self.received_request_ids: set[str] = set()
         self.malformed_lines: list[str] = []
         self.second_answers = 0
         self.run_numbers = itertools.count(1)
+        self.connection_numbers = itertools.count(1)
+        self.transaction_numbers = itertools.count(1)
         self.random = random.Random(1)
         self.record_event: Callable[[str], None] = _discard
+        self.record_line: Callable[[str], None] = _discard
         self.servers = [
             LineServer(self, f"{name}-{number}", zone)
             for number, zone in enumerate(zones)
@@ -601,7 +702,7 @@
                 continue
             server.log = list(primary.log)
             server.term = primary.term
-            self._start_task(self._apply(server, len(server.log)))
+            self.start_task(self._apply(server, len(server.log)))
 
     def catch_up(self, server: LineServer) -> None:
         """Replicate from the current primary unless it is this server."""
@@ -637,7 +738,7 @@
         if not server.is_running:
             return False
         if not server.is_primary:
-            self._start_task(self._promote(server))
+            self.start_task(self._promote(server))
         return True
 
     async def _promote(self, server: LineServer) -> None:
@@ -663,7 +764,8 @@
             other.applied_count = len(other.log)
             other.term = server.term
 
-    def _start_task(self, coroutine) -> None:
+    def start_task(self, coroutine: Coroutine) -> None:
+        """Run a coroutine until the group stops."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
