--- a/bench/mixed.py
+++ b/bench/mixed.py
@@ -179,13 +179,19 @@
 
     async def _probe_once(self, client: LineClient, number: int) -> None:
         attempt = Attempt("old-db", MAX_AGE_S_BY_DATABASE["old-db"], time.monotonic())
-        read = await self._send(client, attempt, f"READ k{number % 6}")
+        read = await self.send(client, attempt, f"READ k{number % 6}")
         self._kind_by_request[next(iter(attempt.texts_by_request))] = "read"
-        self._finish_attempt(attempt, read)
-        begin = await client.query("BEGIN READ")
-        commit_id = client.next_id()
-        self._kind_by_request[commit_id] = "transaction"
-        commit = await client.send(commit_id, "COMMIT")
+        self.finish_attempt(attempt, read)
+        begin = await self.ask(client, "BEGIN READ")
+        transaction = Attempt(
+            "old-db",
+            MAX_AGE_S_BY_DATABASE["old-db"],
+            time.monotonic(),
+            is_transaction=True,
+        )
+        commit = await self.send(client, transaction, "COMMIT")
+        self._kind_by_request[next(iter(transaction.texts_by_request))] = "transaction"
+        self.finish_attempt(transaction, commit)
         for answer in (read, begin, commit):
             if answer.error:
                 self.record_event(f"probe: {answer.error} {answer.detail}")
--- a/bench/platform_cluster.py
+++ b/bench/platform_cluster.py
@@ -37,6 +37,7 @@
 
     Attributes:
         segments: Draws the segments that requests are sent in; None sends each at once.
+        name: Names the connection in records.
     """
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
@@ -44,6 +45,7 @@
         self.reader = reader
         self.writer = writer
         self.segments: random.Random | None = None
+        self.name = f"caller {writer.get_extra_info('sockname')}"
         self._next_id = int.from_bytes(os.urandom(4), "big") << 32
 
     @classmethod
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,7 +6,9 @@
 using their connections.  After the last fault, bench/soak_checks.py compares the
 histories of callers and servers.  The faults are in bench/soak_faults.py.  With
 departures, servers also leave for good and replicas receive nothing for a while.  A
-planned run has only planned work: no request may then end without an answer.
+planned run has only planned work: no request may then end without an answer.  With
+stutter, servers also send answers again, refuse statements and split their answers, and
+callers use any text and every kind of statement (bench/soak_sessions.py).
 
 The daemon keeps no files and makes no decision by the time of day, so there are no
 disk or clock faults.  A stopped process simulates a suspended machine.  The links
@@ -22,6 +24,7 @@
 import socket
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -31,7 +34,11 @@
 from bench.platform_cluster import ZONES, LineAnswer, LineClient, put_configuration
 from bench.processes import Process
 from bench.soak_checks import (
+    EMPTY_CONTEXT,
     Attempt,
+    Context,
+    Observations,
+    PlainAnswer,
     Unanswered,
     find_broken_promises,
     find_unanswered_requests,
@@ -45,8 +52,11 @@
     PLANNED_FAULTS,
     RESTART_DELAY_S,
     SERVER_FAULT_PAUSE_S,
+    STUTTER_FAULTS,
+    STUTTER_INTERVAL_S,
     Fault,
 )
+from bench.soak_sessions import SoakSession
 from standins.faulty_link import FaultyLink
 from standins.line_server import LineServer, ServerGroup
 from standins.object_store import ObjectStoreStandIn
@@ -57,6 +67,7 @@
 gateways hold server connections, and other nodes lease them."""
 
 CALLERS = 9
+STUTTER_CALLERS = 18
 CALLER_LIMIT_S = 3.0
 """Timeout of a caller's request; the routes' own timeout is 1 s."""
 
@@ -96,6 +107,9 @@
 SETTLE_LIMIT_S = 12.0
 """Seconds that a restarted process has until it accepts writes in a planned run."""
 
+STATEMENTS_WITH_RECEIPT = ("READ", "WRITE", "EXECUTE", "COMMIT")
+"""First words of statements whose success carries a receipt."""
+
 GRACE_S = 6
 """Grace period in seconds of a process that is stopped."""
 
@@ -113,7 +127,8 @@
         restores: Whether the store comes back from older copies meanwhile.
         departures: Whether servers leave and replicas receive nothing meanwhile.
         planned: Whether there is only planned work in place of the faults.
-        calm: Whether there are no other faults beside restores and departures.
+        calm: Whether there are no other faults beside restores, departures and stutter.
+        stutter: Whether servers send answers again and refuse statements meanwhile.
     """
 
     nodes: int = NODES
@@ -122,6 +137,7 @@
     departures: bool = False
     planned: bool = False
     calm: bool = False
+    stutter: bool = False
 
 
 DEFAULT_OPTIONS = Options()
@@ -212,6 +228,8 @@
 
     Attributes:
         daemon_module: Module that the entry VMs run.
+        lines: Requests and answers of servers and callers, in runs with stutter.
+        unknown_names: Statements answered with UNKNOWN although their name was valid.
     """
 
     daemon_module = DAEMON_MODULE
@@ -228,17 +246,25 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.departures_random = random.Random(seed + 2)
+        self.stutter_random = random.Random(seed + 3)
         self.fault_s = fault_s
         self.folder = folder
         self.store = ObjectStoreStandIn(seed)
         self.group = ServerGroup("books", ZONES, connection_limit=options.connections)
         self.group.record_event = self.record_event
+        if options.stutter:
+            self.group.random = random.Random(seed + 4)
+            self.group.record_line = self._record_line
         self.vms: list[EntryVm] = []
         self.server_links: dict[str, FaultyLink] = {}
         self.attempts: list[Attempt] = []
         self.unanswered: list[Unanswered] = []
+        self.plain_answers: list[PlainAnswer] = []
+        self.stray_answers: list[bytes] = []
+        self.unknown_names: list[str] = []
         self.unclean_stops: list[str] = []
         self.history: list[str] = []
+        self.lines: list[str] = []
         self.version = 7
         self.server_lock = asyncio.Lock()
         self.release_lock = asyncio.Lock()
@@ -246,7 +272,7 @@
         self._free_addresses: list[tuple[float, LineServer]] = []
         self._added_servers = 0
         self._started_s = time.monotonic()
-        self._is_over = False
+        self.is_over = False
 
     async def run(self) -> list[str]:
         """Run the soak and return every violation of a guarantee.
@@ -260,17 +286,28 @@
                 asyncio.create_task(
                     self._run_caller(random.Random(self.seed * 100 + number))
                 )
-                for number in range(CALLERS)
+                for number in range(
+                    STUTTER_CALLERS if self.options.stutter else CALLERS
+                )
             ]
             supervisor = asyncio.create_task(self._supervise())
             await self._run_scenario()
             broken = await self._check_recovery()
             supervisor.cancel()
-            self._is_over = True
+            self.is_over = True
             await asyncio.gather(*callers)
             await asyncio.sleep(0.1)
             broken += find_broken_promises(
-                self.attempts, self.group.executed_statements, self.find_primary().log
+                self.attempts,
+                self.group.executed_statements,
+                self.find_primary().log,
+                Observations(
+                    tuple(self.group.executed_commits),
+                    tuple(self.group.malformed_lines),
+                    tuple(self.plain_answers),
+                    tuple(self.stray_answers),
+                    tuple(self.unknown_names),
+                ),
             )
             if self.options.planned:
                 broken += self.unclean_stops
@@ -290,6 +327,9 @@
             self.group.statement_duration_s = self.random.choice(
                 PLANNED_STATEMENT_DURATIONS_S
             )
+        if self.options.stutter:
+            for server in self.group.servers:
+                server.faults.fails_transactions = self.stutter_random.random() < 0.5
         self.store.register_group(self.group)
         await self.put_configuration()
         for number in range(self.options.nodes):
@@ -334,7 +374,7 @@
         await put_configuration(self.store, self.group, self.version)
 
     async def _stop(self) -> None:
-        self._is_over = True
+        self.is_over = True
         for vm in self.vms:
             vm.stop()
             await vm.link.stop()
@@ -383,6 +423,12 @@
                     ends_s,
                 )
             )
+        if self.options.stutter:
+            series.append(
+                self._run_faults(
+                    STUTTER_FAULTS, self.stutter_random, STUTTER_INTERVAL_S, ends_s
+                )
+            )
         if not self.options.calm:
             faults = PLANNED_FAULTS if self.options.planned else FAULTS
             series.append(
@@ -427,6 +473,9 @@
         """Add a line to the history, which is kept with the logs of a failed run."""
         self.history.append(f"{time.monotonic() - self._started_s:8.3f} {text}")
 
+    def _record_line(self, text: str) -> None:
+        self.lines.append(f"{time.monotonic() - self._started_s:8.3f} {text}")
+
     def draw_duration_s(self) -> float:
         """Draw the duration of a fault in seconds."""
         return self.random.uniform(*FAULT_DURATION_S)
@@ -482,15 +531,15 @@
                 client = await LineClient.connect(
                     vm.callers_port, "main-db", host=vm.host
                 )
-                answer = await self._send(client, attempt, _write(generator))
+                answer = await self.send(client, attempt, _write(generator))
                 client.close()
         except (OSError, TimeoutError):
             answer = None
-        self._finish_attempt(attempt, answer)
+        self.finish_attempt(attempt, answer)
         return attempt.is_acknowledged
 
     async def _run_caller(self, generator: random.Random) -> None:
-        while not self._is_over:
+        while not self.is_over:
             vm = generator.choice(self.vms)
             database = generator.choice(sorted(MAX_AGE_S_BY_DATABASE))
             try:
@@ -501,7 +550,13 @@
             except (OSError, TimeoutError):
                 await asyncio.sleep(generator.uniform(0.05, 0.3))
                 continue
-            await self._run_session(generator, client, database)
+            if self.options.stutter:
+                client.segments = generator
+                max_age_s = MAX_AGE_S_BY_DATABASE[database]
+                session = SoakSession(self, generator, client, database, max_age_s)
+                await session.run()
+            else:
+                await self._run_session(generator, client, database)
             client.close()
 
     async def _run_session(
@@ -514,7 +569,7 @@
         if self.options.planned:
             pause_s = generator.choice(PLANNED_CALLER_PAUSES_S)
         for _ in range(generator.randint(1, 60)):
-            if self._is_over:
+            if self.is_over:
                 return
             attempt = Attempt(
                 database,
@@ -526,17 +581,17 @@
                 if generator.random() < 0.2:
                     name = generator.choice(("tz", "lang"))
                     value = f"v{generator.randint(0, 9)}"
-                    answer = await self._ask(client, f"SET {name} {value}")
+                    answer = await self.ask(client, f"SET {name} {value}")
                     if answer.error:
                         return
                     values[name] = value
                     continue
-                attempt.values = tuple(sorted(values.items()))
-                answer = await self._run_operation(generator, client, attempt)
+                context = Context(tuple(sorted(values.items())))
+                answer = await self._run_operation(generator, client, attempt, context)
             except (OSError, TimeoutError):
-                self._finish_attempt(attempt, None)
+                self.finish_attempt(attempt, None)
                 return
-            self._finish_attempt(attempt, answer)
+            self.finish_attempt(attempt, answer)
             if answer.state != "I":
                 return
             if attempt.is_acknowledged:
@@ -544,63 +599,108 @@
             await asyncio.sleep(generator.uniform(0.0, pause_s))
 
     async def _run_operation(
-        self, generator: random.Random, client: LineClient, attempt: Attempt
+        self,
+        generator: random.Random,
+        client: LineClient,
+        attempt: Attempt,
+        context: Context,
     ) -> LineAnswer:
         if generator.random() < 0.75:
             statement = _write if generator.random() < 0.3 else _read
-            return await self._send(client, attempt, statement(generator))
+            return await self.send(client, attempt, statement(generator), context)
+        attempt.is_transaction = True
         is_read_only = generator.random() < 0.3
         pause_s = STATEMENT_PAUSE_S
         if self.options.planned:
             pause_s = generator.choice(PLANNED_STATEMENT_PAUSES_S)
-        answer = await self._ask(client, "BEGIN READ" if is_read_only else "BEGIN")
+        answer = await self.ask(client, "BEGIN READ" if is_read_only else "BEGIN")
         for _ in range(generator.randint(1, 4)):
             if answer.error:
                 break
             is_write = not is_read_only and generator.random() < 0.5
             statement = _write if is_write else _read
-            answer = await self._send(client, attempt, statement(generator))
+            answer = await self.send(client, attempt, statement(generator), context)
             await asyncio.sleep(generator.uniform(0.0, pause_s))
         if answer.error:
             if answer.state == "E":
-                ending = await self._ask(client, "ROLLBACK")
+                ending = await self.ask(client, "ROLLBACK")
                 return LineAnswer((), "", answer.error, "", ending.state)
             return answer
         if generator.random() < 0.2:
-            answer = await self._ask(client, "ROLLBACK")
-            attempt.writes.clear()
-            return answer
-        return await self._ask(client, "COMMIT")
+            return await self.roll_back(client, attempt)
+        return await self.send(client, attempt, "COMMIT", context)
+
+    async def roll_back(self, client: LineClient, attempt: Attempt) -> LineAnswer:
+        """Roll a transaction back; nothing of it may be kept after a success."""
+        answer = await self.ask(client, "ROLLBACK")
+        if not answer.error:
+            attempt.rolled_back_writes = tuple(attempt.writes)
+        attempt.writes.clear()
+        return answer
 
-    async def _send(
-        self, client: LineClient, attempt: Attempt, text: str
+    async def send(
+        self,
+        client: LineClient,
+        attempt: Attempt,
+        text: str,
+        context: Context = EMPTY_CONTEXT,
+        access: str = "",
     ) -> LineAnswer:
+        """Send a read, write or commit of an attempt.
+
+        Args:
+            client: The connection.
+            attempt: What the statement belongs to; it records statement and answer.
+            text: The statement.
+            context: What the session has set up.
+            access: READ or WRITE, or empty for the first word of the text.
+
+        Returns:
+            The answer.
+
+        Raises:
+            OSError: The connection broke.
+            TimeoutError: No complete answer came within the caller's limit.
+        """
         request_id = client.next_id()
+        access = access or text.partition(" ")[0]
         attempt.texts_by_request[request_id] = text
-        if text.startswith("WRITE"):
+        attempt.contexts_by_request[request_id] = context
+        if access == "WRITE":
             attempt.writes.append(request_id)
         self._record_attempt(attempt)
-        answer = await self._ask(client, text, request_id)
-        if text.startswith("READ") and not answer.error:
-            attempt.answers[request_id] = (answer.receipt, answer.rows)
+        answer = await self.ask(client, text, request_id)
+        if not answer.error:
+            answers = attempt.answers if access == "READ" else attempt.write_answers
+            answers[request_id] = (answer.receipt, answer.rows)
         return answer
 
     def _record_attempt(self, attempt: Attempt) -> None:
         if not self.attempts or self.attempts[-1] is not attempt:
             self.attempts.append(attempt)
 
-    async def _ask(
+    async def ask(
         self, client: LineClient, text: str, request_id: str = ""
     ) -> LineAnswer:
-        """Send a statement, and record it if no complete answer comes."""
+        """Send a statement, and record it if no complete answer comes.
+
+        Raises:
+            OSError: The connection broke.
+            TimeoutError: No complete answer came within the caller's limit.
+        """
         request_id = request_id or client.next_id()
+        self._record_stray_answers(client)
         sent_s = time.monotonic()
         answer = None
+        if self.options.stutter:
+            self._record_line(f"{client.name} sends {request_id} {text!r}")
         try:
             async with asyncio.timeout(CALLER_LIMIT_S):
                 answer = await client.send(request_id, text)
             return answer
         finally:
+            if self.options.stutter:
+                self._record_line(f"{client.name} gets {answer}")
             # An answer without its last line has no state.
             if answer is None or not answer.state:
                 waited_s = time.monotonic() - sent_s
@@ -608,8 +708,19 @@
                 self.record_event(
                     f"no answer to {request_id} {text!r} after {waited_s:.3f} s"
                 )
+            elif not answer.error and not text.startswith(STATEMENTS_WITH_RECEIPT):
+                self.plain_answers.append(
+                    PlainAnswer(request_id, text, answer.receipt, answer.rows)
+                )
+
+    def _record_stray_answers(self, client: LineClient) -> None:
+        """Record what answers no request; an error alone announces the end."""
+        for line in client.peek_unread().split(b"\r\n"):
+            if line and not line.startswith(b"ERROR "):
+                self.stray_answers.append(line)
 
-    def _finish_attempt(self, attempt: Attempt, answer: LineAnswer | None) -> None:
+    def finish_attempt(self, attempt: Attempt, answer: LineAnswer | None) -> None:
+        """Record the outcome of an attempt, which None leaves unknown."""
         if answer is None:
             attempt.outcome = "NO ANSWER"
             return
@@ -652,6 +763,8 @@
             target = keep / f"seed-{seed}"
             target.mkdir(parents=True, exist_ok=True)
             (target / "history").write_text("\n".join([*soak.history, *broken, ""]))
+            if soak.lines:
+                (target / "lines").write_text("\n".join([*soak.lines, ""]))
             for path in Path(folder).iterdir():
                 (target / path.name).write_bytes(path.read_bytes())
         return broken
@@ -668,7 +781,8 @@
 @click.option("--restores", is_flag=True, help="The store goes back to older copies.")
 @click.option("--departures", is_flag=True, help="Servers leave, replicas starve.")
 @click.option("--planned", is_flag=True, help="Planned work only, all answered.")
-@click.option("--calm", is_flag=True, help="No faults but restores and departures.")
+@click.option("--calm", is_flag=True, help="No faults but those asked for.")
+@click.option("--stutter", is_flag=True, help="Servers answer twice and refuse.")
 def main(
     seed: int | None,
     seeds: int,
@@ -695,7 +809,10 @@
     async def run_one(seed: int) -> None:
         async with semaphore:
             broken = await run_one_seed(seed)
-        click.echo(f"seed {seed}: {'; '.join(broken[:5]) or 'all promises held'}")
+        kinds = Counter(line.partition(":")[0] for line in broken)
+        counts = ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items()))
+        text = "; ".join([counts, *broken[:5]]) if broken else "all promises held"
+        click.echo(f"seed {seed}: {text}")
         if broken:
             failed.append(seed)
 
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -66,6 +66,9 @@
     shape: str = ""
 
 
+EMPTY_CONTEXT = Context()
+
+
 @dataclass(frozen=True)
 class Observations:
     """What callers and servers saw beside the attempts and statements.
@@ -75,12 +78,14 @@
         malformed_lines: Lines that are no statement, which reached a server.
         plain_answers: Successes of statements that are none of read, write and commit.
         stray_answers: What callers received while they had no request open.
+        unknown_names: Statements answered with UNKNOWN although their name was valid.
     """
 
     commits: tuple[ExecutedStatement, ...] = ()
     malformed_lines: tuple[str, ...] = ()
     plain_answers: tuple[PlainAnswer, ...] = ()
     stray_answers: tuple[bytes, ...] = ()
+    unknown_names: tuple[str, ...] = ()
 
 
 @dataclass
@@ -152,6 +157,7 @@
         *find_unexpected_statements(attempts, runs),
         *find_split_transactions(attempts, runs),
         *(f"UNASKED: a server got {line!r}" for line in observations.malformed_lines),
+        *(f"PINNED: {text!r} was unknown" for text in observations.unknown_names),
         *find_stale_reads(attempts, statements, log),
     ]
 
@@ -247,7 +253,7 @@
         text = attempt.texts_by_request[run.request_id]
         if _text_without_name(text) != _text_without_name(run.text):
             yield f"UNASKED: {run.request_id} ran as {run.text!r}, sent as {text!r}"
-        context = attempt.contexts_by_request.get(run.request_id, Context())
+        context = attempt.contexts_by_request.get(run.request_id, EMPTY_CONTEXT)
         if run.values != context.values:
             yield (
                 f"PINNED: {run.request_id} ran with {run.values}, not {context.values}"
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -15,6 +15,7 @@
 
 FAULT_INTERVAL_S = (0.1, 1.2)
 DEPARTURE_INTERVAL_S = (0.4, 2.0)
+STUTTER_INTERVAL_S = (0.1, 1.0)
 """Range of the seconds between the starts of two faults."""
 
 RESTART_DELAY_S = 0.2
@@ -54,6 +55,12 @@
 )
 """Signals of which one series precedes the last SIGTERM of a stop."""
 
+REPEAT_PROBABILITIES = (0.01, 0.05, 0.3, 1.0)
+REPEAT_DELAYS_S = (0.0, 0.02, 0.3, 3.0)
+"""Longest delays in seconds of a second answer."""
+
+BUSY_PROBABILITIES = (0.02, 0.1, 0.4)
+
 GRACE_PERIODS_S = (4, 5, 6)
 """Grace periods in seconds that a settings file changes between."""
 
@@ -62,6 +69,7 @@
 FAULTS: dict[str, Fault] = {}
 DEPARTURE_FAULTS: dict[str, Fault] = {}
 PLANNED_FAULTS: dict[str, Fault] = {}
+STUTTER_FAULTS: dict[str, Fault] = {}
 
 
 def fault(*registries: dict[str, Fault]) -> Callable[[Fault], Fault]:
@@ -382,3 +390,38 @@
         vm.write_settings(soak.random.choice(GRACE_PERIODS_S))
         vm.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(soak.random.uniform(*SIGNAL_PAUSE_S))
+
+
+@fault(STUTTER_FAULTS)
+async def answer_twice(soak: "Soak") -> None:
+    """Make a server send some of its answers of every kind a second time."""
+    generator = soak.stutter_random
+    server = generator.choice(soak.group.servers)
+    server.faults.repeat_delay_s = (0.0, generator.choice(REPEAT_DELAYS_S))
+    server.faults.repeat_probability = generator.choice(REPEAT_PROBABILITIES)
+    soak.record_event(
+        f"{server.server_id} answers twice: {server.faults.repeat_probability}, "
+        f"after {server.faults.repeat_delay_s[1]} s at most"
+    )
+    await asyncio.sleep(generator.uniform(*FAULT_DURATION_S))
+    server.faults.repeat_probability = 0.0
+
+
+@fault(STUTTER_FAULTS)
+async def refuse_statements(soak: "Soak") -> None:
+    """Make a server reject statements of all kinds, of callers and of the proxy."""
+    generator = soak.stutter_random
+    server = generator.choice(soak.group.servers)
+    server.faults.busy_probability = generator.choice(BUSY_PROBABILITIES)
+    await asyncio.sleep(generator.uniform(*FAULT_DURATION_S))
+    server.faults.busy_probability = 0.0
+
+
+@fault(STUTTER_FAULTS)
+async def split_answers(soak: "Soak") -> None:
+    """Make a server send its answers in segments that end anywhere."""
+    generator = soak.stutter_random
+    server = generator.choice(soak.group.servers)
+    server.faults.split_probability = generator.random()
+    await asyncio.sleep(generator.uniform(*FAULT_DURATION_S))
+    server.faults.split_probability = 0.0
