--- a/bench/soak.py
+++ b/bench/soak.py
@@ -473,6 +473,19 @@
         """Add a line to the history, which is kept with the logs of a failed run."""
         self.history.append(f"{time.monotonic() - self._started_s:8.3f} {text}")
 
+    def describe_activity(self) -> str:
+        """Return how much was asked, answered and answered a second time."""
+        acknowledged = sum(attempt.is_acknowledged for attempt in self.attempts)
+        answers = sum(
+            len(attempt.answers) + len(attempt.write_answers)
+            for attempt in self.attempts
+        )
+        return (
+            f"{acknowledged} of {len(self.attempts)} attempts acknowledged, {answers} "
+            f"successes with a receipt, {len(self.plain_answers)} without, "
+            f"{self.group.second_answers} second answers"
+        )
+
     def _record_line(self, text: str) -> None:
         self.lines.append(f"{time.monotonic() - self._started_s:8.3f} {text}")
 
@@ -664,21 +677,18 @@
         """
         request_id = client.next_id()
         access = access or text.partition(" ")[0]
+        if not attempt.texts_by_request:
+            self.attempts.append(attempt)
         attempt.texts_by_request[request_id] = text
         attempt.contexts_by_request[request_id] = context
         if access == "WRITE":
             attempt.writes.append(request_id)
-        self._record_attempt(attempt)
         answer = await self.ask(client, text, request_id)
         if not answer.error:
             answers = attempt.answers if access == "READ" else attempt.write_answers
             answers[request_id] = (answer.receipt, answer.rows)
         return answer
 
-    def _record_attempt(self, attempt: Attempt) -> None:
-        if not self.attempts or self.attempts[-1] is not attempt:
-            self.attempts.append(attempt)
-
     async def ask(
         self, client: LineClient, text: str, request_id: str = ""
     ) -> LineAnswer:
@@ -759,6 +769,8 @@
             broken = await soak.run()
         except TimeoutError as error:
             broken = [f"START: {error}"]
+        if options.stutter:
+            click.echo(f"seed {seed}: {soak.describe_activity()}")
         if broken and keep is not None:
             target = keep / f"seed-{seed}"
             target.mkdir(parents=True, exist_ok=True)
