--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -55,7 +55,7 @@
 )
 """Signals of which one series precedes the last SIGTERM of a stop."""
 
-REPEAT_PROBABILITIES = (0.01, 0.05, 0.3, 1.0)
+REPEAT_PROBABILITIES = (0.02, 0.1, 0.3, 1.0)
 REPEAT_DELAYS_S = (0.0, 0.02, 0.3, 3.0)
 """Longest delays in seconds of a second answer."""
 
