--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -1,16 +1,22 @@
 """Tests that each check of the soak detects the violation that it looks for."""
 
+from dataclasses import replace
+
 import pytest
 
 from bench.soak_checks import (
     LOSS_SLACK_S,
     Attempt,
+    Context,
+    Observations,
+    PlainAnswer,
     Unanswered,
     find_broken_promises,
     find_unanswered_requests,
 )
 from standins.line_server import ExecutedStatement, LogEntry
 
+NOTHING_ELSE = Observations()
 WRITE = "w1"
 READ = "r1"
 
@@ -56,10 +62,9 @@
     )
 
 
-def find_violations(attempts, statements, log=LOG):
-    return [
-        line.split(":")[0] for line in find_broken_promises(attempts, statements, log)
-    ]
+def find_violations(attempts, statements, log=LOG, observations=NOTHING_ELSE):
+    lines = find_broken_promises(attempts, statements, log, observations)
+    return [line.split(":")[0] for line in lines]
 
 
 def test_history_that_keeps_all_promises_passes():
@@ -141,3 +146,175 @@
     unanswered = [Unanswered(READ, "READ k", waited_s)]
     found = list(find_unanswered_requests(unanswered, received_ids))
     assert [line.split(":")[0] for line in found] == ["UNANSWERED"] * is_found
+
+
+COMMIT = "c1"
+CONTEXT = Context((("tz", "quito"),), "WRITE q")
+
+
+def make_transaction(**changes):
+    """Return a transaction of a prepared write, a read and a commit."""
+    attempt = Attempt(
+        "main-db",
+        0.0,
+        1.0,
+        2.0,
+        texts_by_request={
+            WRITE: "EXECUTE s k one",
+            READ: "READ k",
+            COMMIT: "COMMIT",
+        },
+        writes=[WRITE],
+        is_transaction=True,
+        contexts_by_request={WRITE: CONTEXT, READ: Context(CONTEXT.values)},
+        answers={READ: (f"s.{READ}", ("one",))},
+        write_answers={WRITE: (f"s.{WRITE}", ()), COMMIT: (f"s.{COMMIT}", ())},
+    )
+    return replace(attempt, **changes)
+
+
+def make_run(request_id, text, **changes):
+    run = ExecutedStatement(
+        "s",
+        request_id,
+        text,
+        CONTEXT.values,
+        in_transaction=True,
+        receipt=f"s.{request_id}",
+        log=LOG,
+        applied_count=1,
+        connection=4,
+        transaction=9,
+    )
+    return replace(run, **changes)
+
+
+TRANSACTION_RUNS = [
+    make_run(WRITE, "EXECUTE p0 k one", shape="WRITE q"),
+    make_run(READ, "READ k", row="one"),
+]
+COMMIT_RUN = make_run(COMMIT, "COMMIT")
+
+
+def find_in_transaction(attempt=None, write=(), read=(), commit=(), **observed):
+    """Return the violations of a transaction whose runs are changed."""
+    runs = [
+        replace(run, **dict(changes))
+        for run, changes in zip(TRANSACTION_RUNS, (write, read), strict=True)
+    ]
+    observations = Observations((replace(COMMIT_RUN, **dict(commit)),), **observed)
+    return find_violations([attempt or make_transaction()], runs, LOG, observations)
+
+
+def test_transaction_that_keeps_all_promises_passes():
+    plain = PlainAnswer("b1", "BEGIN", "-", ())
+    assert find_in_transaction(plain_answers=(plain,)) == []
+
+
+@pytest.mark.parametrize(
+    "answers",
+    [
+        {WRITE: (f"s.{READ}", ())},
+        {WRITE: ("-", ())},
+        {WRITE: ("", ())},
+        {WRITE: (f"other.{WRITE}", ())},
+        {WRITE: (f"s.{WRITE}", ("one",))},
+        {COMMIT: ("-", ())},
+        {COMMIT: (f"other.{COMMIT}", ())},
+        {COMMIT: (f"s.{COMMIT}", ("one",))},
+    ],
+)
+def test_write_or_commit_with_the_answer_of_another_request_is_found(answers):
+    attempt = make_transaction()
+    attempt.write_answers |= answers
+    assert "MIXED" in find_in_transaction(attempt)
+
+
+@pytest.mark.parametrize("rows", [(), ("one", "one"), ("two",)])
+def test_read_with_rows_that_are_not_those_of_its_run_is_found(rows):
+    attempt = make_transaction(answers={READ: (f"s.{READ}", rows)})
+    assert find_in_transaction(attempt) == ["MIXED"]
+
+
+def test_receipt_that_comes_twice_is_found():
+    attempt = make_transaction()
+    attempt.write_answers[COMMIT] = attempt.write_answers[WRITE]
+    lines = find_broken_promises(
+        [attempt], TRANSACTION_RUNS, LOG, Observations((COMMIT_RUN,))
+    )
+    assert [line for line in lines if "came 2 times" in line]
+
+
+@pytest.mark.parametrize(("receipt", "rows"), [("-", ("one",)), ("s.r1", ()), ("", ())])
+def test_plain_statement_with_the_answer_of_another_request_is_found(receipt, rows):
+    plain = PlainAnswer("b1", "SET tz quito", receipt, rows)
+    assert find_in_transaction(plain_answers=(plain,)) == ["MIXED"]
+
+
+def test_answer_to_no_request_is_found():
+    assert find_in_transaction(stray_answers=(b"COMPLETE -",)) == ["MIXED"]
+
+
+@pytest.mark.parametrize(
+    ("write", "read"),
+    [
+        ({"shape": "WRITE q\r"}, {}),
+        ({"shape": ""}, {}),
+        ({"values": (("tz", "quito\r"),)}, {}),
+        ({}, {"values": ()}),
+        ({}, {"shape": "READ q"}),
+        ({}, {"connection": 5}),
+        ({}, {"transaction": 10}),
+        ({}, {"server_id": "t"}),
+        ({}, {"in_transaction": False, "transaction": 0}),
+    ],
+)
+def test_statement_with_the_state_of_another_session_is_found(write, read):
+    assert set(find_in_transaction(write=write, read=read)) == {"PINNED"}
+
+
+@pytest.mark.parametrize("commit", [{"transaction": 10}, {"connection": 5}])
+def test_commit_of_another_transaction_is_found(commit):
+    assert find_in_transaction(commit=commit) == ["PINNED"]
+
+
+def test_transaction_that_two_attempts_share_is_found():
+    other = Attempt(
+        "main-db", 0.0, 1.0, 2.0, texts_by_request={"r2": "READ k"}, is_transaction=True
+    )
+    runs = [*TRANSACTION_RUNS, make_run("r2", "READ k", values=())]
+    attempts = [make_transaction(), other]
+    observations = Observations((COMMIT_RUN,))
+    assert find_violations(attempts, runs, LOG, observations) == ["PINNED"]
+
+
+def test_statement_that_ran_inside_a_transaction_but_was_sent_outside_is_found():
+    run = make_read_statement()
+    statements = [WRITE_STATEMENT, replace(run, in_transaction=True, transaction=3)]
+    assert find_violations([make_write(), make_read()], statements) == ["PINNED"]
+
+
+def test_valid_name_that_is_unknown_is_found():
+    assert find_in_transaction(unknown_names=("EXECUTE s k one",)) == ["PINNED"]
+
+
+@pytest.mark.parametrize(
+    "text", ["EXECUTE p0 k one\r", "EXECUTE p0 j one", "EXECUTE p0", "WRITE k one"]
+)
+def test_prepared_statement_with_other_arguments_is_found(text):
+    assert find_in_transaction(write={"text": text}) == ["UNASKED"]
+
+
+def test_statement_of_the_proxy_itself_that_reads_or_commits_is_found():
+    for request_id in ("-", "stray"):
+        assert "UNASKED" in find_in_transaction(read={"request_id": request_id})
+        assert "UNASKED" in find_in_transaction(commit={"request_id": request_id})
+
+
+def test_malformed_line_at_a_server_is_found():
+    assert find_in_transaction(malformed_lines=("k y",)) == ["UNASKED"]
+
+
+def test_write_that_is_kept_after_a_rollback_is_found():
+    attempt = make_transaction(writes=[], rolled_back_writes=(WRITE,))
+    assert find_in_transaction(attempt) == ["REFUSED"]
--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -79,3 +79,18 @@
     """Stops, reloads, configuration changes and releases in series that overlap."""
     broken = await run_seed(17, FAULT_S, tmp_path, Options(planned=True))
     assert broken == [], f"logs in {tmp_path}"
+
+
+STUTTER_FAULT_S = 6.0
+
+
+@pytest.mark.parametrize(
+    ("seed", "options"),
+    [(33, Options(stutter=True)), (34, Options(9, 12, stutter=True))],
+)
+async def test_promises_hold_while_servers_answer_twice_and_refuse(
+    seed, options, tmp_path
+):
+    """Callers use any text and every kind of statement, beside all other faults."""
+    broken = await run_seed(seed, STUTTER_FAULT_S, tmp_path, options)
+    assert broken == [], f"logs in {tmp_path}"
--- a/standins/line_server_test.py
+++ b/standins/line_server_test.py
@@ -117,3 +117,80 @@
         assert former.log == [kept, missed]
     finally:
         await group.stop()
+
+
+async def ask(reader, writer, text):
+    """Send a statement and return the lines of its answer."""
+    writer.write(f"QUERY r {text}\r\n".encode())
+    lines = []
+    while not lines or not lines[-1].startswith(b"READY"):
+        lines.append(await reader.readuntil(b"\r\n"))
+    return lines
+
+
+async def test_second_answers_and_segments_leave_each_answer_whole():
+    group = ServerGroup("books", ("a",), sync_replica_count=0)
+    (server,) = group.servers
+    server.faults.repeat_probability = 1.0
+    server.faults.repeat_delay_s = (0.0, 0.02)
+    server.faults.split_probability = 1.0
+    await group.start()
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"STARTUP books x\r\n")
+        for _ in range(20):
+            writer.write(b"QUERY r READ k\r\n")
+        await asyncio.sleep(2.0)
+        await group.stop()
+        data = await reader.read()
+        starts = data.count(b"READY I 3.0\r\n") - data.count(b"DATAROW")
+        assert starts == 2
+        answers = data.split(b"READY I 3.0\r\n")
+        assert answers.pop() == b""
+        reads = sorted(answer for answer in answers if answer)
+        assert len(reads) == 40 and len(set(reads)) == 20
+        for answer in reads:
+            row, complete, rest = answer.split(b"\r\n")
+            assert row == b"DATAROW none" and not rest
+            assert complete.startswith(b"COMPLETE books-0.")
+    finally:
+        await group.stop()
+
+
+async def test_connections_transactions_and_wrong_statements_are_recorded():
+    group = ServerGroup("books", ("a",), sync_replica_count=0)
+    (server,) = group.servers
+    server.faults.fails_transactions = True
+    await group.start()
+    try:
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+            writer.write(b"STARTUP books x\r\n")
+            await reader.readuntil(b"\r\n")
+            await ask(reader, writer, "READ k")
+            for end in ("COMMIT", "ROLLBACK"):
+                await ask(reader, writer, "BEGIN")
+                await ask(reader, writer, "READ k")
+                await ask(reader, writer, end)
+        runs = group.executed_statements
+        assert [run.connection for run in runs] == [1] * 3 + [2] * 3
+        assert [run.transaction for run in runs] == [0, 1, 2, 0, 3, 4]
+        commits = group.executed_commits
+        assert [run.transaction for run in commits] == [1, 3]
+        assert group.malformed_lines == []
+        await ask(reader, writer, "BEGIN")
+        answer = await ask(reader, writer, "EXECUTE unknown k")
+        assert answer == [b"ERROR UNKNOWN books-0\r\n", b"READY E 3.0\r\n"]
+        assert (await ask(reader, writer, "READ k"))[
+            0
+        ] == b"ERROR MALFORMED books-0\r\n"
+        assert (await ask(reader, writer, "ROLLBACK"))[-1] == b"READY I 3.0\r\n"
+        assert group.malformed_lines == []
+        for text in ("COMMIT", "READ", "PREPARE s", "k y"):
+            await ask(reader, writer, text)
+        assert len(group.malformed_lines) == 4
+        await ask(reader, writer, "BEGIN")
+        await ask(reader, writer, "BEGIN")
+        assert len(group.malformed_lines) == 5
+    finally:
+        await group.stop()
