--- a/bench/soak.py
+++ b/bench/soak.py
@@ -50,6 +50,7 @@
     FAULT_INTERVAL_S,
     FAULTS,
     PLANNED_FAULTS,
+    REFUSAL_FAULTS,
     RESTART_DELAY_S,
     SERVER_FAULT_PAUSE_S,
     STUTTER_FAULTS,
@@ -424,11 +425,13 @@
                 )
             )
         if self.options.stutter:
-            series.append(
-                self._run_faults(
-                    STUTTER_FAULTS, self.stutter_random, STUTTER_INTERVAL_S, ends_s
+            series += [
+                self._run_faults(faults, generator, STUTTER_INTERVAL_S, ends_s)
+                for faults, generator in (
+                    (STUTTER_FAULTS, self.stutter_random),
+                    (REFUSAL_FAULTS, random.Random(self.seed + 5)),
                 )
-            )
+            ]
         if not self.options.calm:
             faults = PLANNED_FAULTS if self.options.planned else FAULTS
             series.append(
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -70,6 +70,7 @@
 DEPARTURE_FAULTS: dict[str, Fault] = {}
 PLANNED_FAULTS: dict[str, Fault] = {}
 STUTTER_FAULTS: dict[str, Fault] = {}
+REFUSAL_FAULTS: dict[str, Fault] = {}
 
 
 def fault(*registries: dict[str, Fault]) -> Callable[[Fault], Fault]:
@@ -407,7 +408,7 @@
     server.faults.repeat_probability = 0.0
 
 
-@fault(STUTTER_FAULTS)
+@fault(REFUSAL_FAULTS)
 async def refuse_statements(soak: "Soak") -> None:
     """Make a server reject statements of all kinds, of callers and of the proxy."""
     generator = soak.stutter_random
@@ -417,7 +418,7 @@
     server.faults.busy_probability = 0.0
 
 
-@fault(STUTTER_FAULTS)
+@fault(REFUSAL_FAULTS)
 async def split_answers(soak: "Soak") -> None:
     """Make a server send its answers in segments that end anywhere."""
     generator = soak.stutter_random
