--- a/standins/line_server.py
+++ b/standins/line_server.py
@@ -332,6 +332,8 @@
             writer.write(segments[0])
             for segment in segments[1:]:
                 await asyncio.sleep(generator.uniform(0.0, SEGMENT_PAUSE_S))
+                if writer.is_closing():
+                    return
                 writer.write(segment)
 
     def _record_line(self, session: _Session, text: str) -> None:
