--- a/bench/soak_sessions.py
+++ b/bench/soak_sessions.py
@@ -10,6 +10,7 @@
 from bench.soak_texts import (
     ITEMS,
     PREPARED_NAMES,
+    VALUE_NAME_WEIGHTS,
     VALUE_NAMES,
     draw_data,
     draw_shape,
@@ -31,6 +32,9 @@
 
 TRANSACTION_PROBABILITY = 0.4
 ROLLBACK_PROBABILITY = 0.2
+VALUE_NAME_COUNTS = (0, 1, 1, 3)
+"""Numbers of value names that a session uses; it draws one."""
+
 LEAVE_PROBABILITY = 0.01
 """Probability that a caller leaves after a statement of a transaction."""
 
@@ -72,6 +76,10 @@
         self._shapes_by_name: dict[str, str] = {}
         self._own_writes: tuple[str, ...] = ()
         self._pause_s = generator.choice(PAUSES_S)
+        # Sessions with few names of their own meet what others left on connections.
+        self._value_names = generator.choices(
+            VALUE_NAMES, VALUE_NAME_WEIGHTS, k=generator.choice(VALUE_NAME_COUNTS)
+        )
 
     async def run(self) -> None:
         """Send requests until the session ends or its state becomes unknown."""
@@ -105,7 +113,7 @@
     async def _set_up(self) -> LineAnswer:
         """Change a value or a prepared statement; leave if that is refused."""
         choice = self._generator.random()
-        if choice < 0.5:
+        if choice < 0.5 and self._value_names:
             answer = await self._set_value()
         elif choice < 0.85 or not self._shapes_by_name:
             answer = await self._prepare()
@@ -116,7 +124,7 @@
         return answer
 
     async def _set_value(self) -> LineAnswer:
-        name = self._generator.choice(VALUE_NAMES)
+        name = self._generator.choice(self._value_names)
         value = draw_value(self._generator)
         answer = await self._soak.ask(self._client, f"SET {name} {value}")
         if not answer.error:
--- a/bench/soak_texts.py
+++ b/bench/soak_texts.py
@@ -28,6 +28,7 @@
 MAX_PIECES = 5
 ITEMS = ("k0", "k1", "k2", "k3", "k4\r", "k5\n", "ké", "\nk", "k\r\r")
 VALUE_NAMES = ("tz", "lang", "größe", "a\r", "n\n")
+VALUE_NAME_WEIGHTS = (8, 4, 1, 1, 1)
 PREPARED_NAMES = ("s1", "s2", "p0", "p1", "probe1", "é\r")
 """Names of prepared statements; some are like those that a proxy may choose."""
 
