--- a/bench/soak_test.py
+++ b/bench/soak_test.py
@@ -84,8 +84,6 @@
 STUTTER_FAULT_S = 6.0
 
 
-# Not strict: whether a SET is refused within a transaction differs between runs.
-@pytest.mark.xfail(reason="KNOWN-RED 20", strict=False)
 @pytest.mark.parametrize(
     ("seed", "options"),
     [(33, Options(stutter=True)), (34, Options(9, 12, stutter=True))],
