Exchange: a proven server's refusals cost no connection and no unknown outcome

A server that is proven to answer once is believed where more than two barriers would be needed. An ambiguous reply is no sign of a restart. An acknowledgement without a log position raised an AttributeError.

--- a/pollencleat/engine/access.py
+++ b/pollencleat/engine/access.py
@@ -22,7 +22,7 @@
     WritesUnavailableError,
 )
 from pollencleat.core.faults import ErrorRecorder
-from pollencleat.engine.exchange import NotSentError
+from pollencleat.engine.exchange import AmbiguousReplyError, NotSentError
 from pollencleat.engine.session import SessionState
 from pollencleat.engine.statements import ServerReply, Shape, Work
 from pollencleat.limits.gateways import is_pooled_at_gateways
@@ -391,7 +391,8 @@
             reply = await request
             is_answered = True
             return reply
-        except NotSentError:
+        except (NotSentError, AmbiguousReplyError):
+            # The server has not ended the connection.
             raise
         except BackendError:
             self.note_connection_lost(server_id)
--- a/pollencleat/engine/exchange.py
+++ b/pollencleat/engine/exchange.py
@@ -203,7 +203,7 @@
         """
         if self._count_answered() >= self._required:
             return
-        if self._record.is_proven and self._count_missing() > MAX_BARRIERS_IF_PROVEN:
+        if self._are_barriers_saved():
             return
         expected = Expectation(ReplyKind.ACKNOWLEDGED, self.has_open_transaction)
         try:
@@ -278,7 +278,9 @@
         self._history.add(received)
         self._last_acknowledgement = reply
         self._last_by_state[reply.in_transaction] = reply
-        if self.position is None or is_before(self.position, reply.position):
+        if reply.position is not None and (
+            self.position is None or is_before(self.position, reply.position)
+        ):
             self.position = reply.position
         self._taken[reply] += 1
         if self._count_answered() < self._sent:
@@ -318,6 +320,12 @@
 
     # Settling.
 
+    def _are_barriers_saved(self) -> bool:
+        """Return whether the server is proven, and settling would cost too much."""
+        if not self._record.is_proven:
+            return False
+        return self._count_missing() > MAX_BARRIERS_IF_PROVEN
+
     def _may_be_earlier_failure(
         self, failed: ReceivedReply, expected: Expectation, unanswered: int
     ) -> bool:
@@ -333,12 +341,16 @@
         # The position is that of another time, if it is a repetition.
         reply = replace(failed.reply, position=None)
         if not _may_persist(expected):
+            if self._record.is_proven and expected.kind is ReplyKind.RECEIPT:
+                return reply
             # Nothing is kept in either case, once the connection is closed.
             self.fail(AmbiguousReplyError("a failure equals an earlier one"))
             return reply
         failures = {reply.failure}
         # The first barrier.
         self._required = self._sent + 1
+        if self._are_barriers_saved():
+            return reply
         # Neither a write of its own nor a commit needs a state: both end in any.
         acknowledged = Expectation(ReplyKind.ACKNOWLEDGED)
         answer = await self._settle_with_barriers(acknowledged, failures, expected)
--- a/pollencleat/engine/exchange_test.py
+++ b/pollencleat/engine/exchange_test.py
@@ -260,6 +260,28 @@
     assert BARRIER not in connection.sent
 
 
+async def test_refusals_of_a_proven_server_cost_no_connection():
+    """Each second LAGGING of a replica whose log stood still closed one."""
+    behind = failed(ServerFailure.BEHIND)
+    script = [acknowledged()] * MAX_EQUAL_REPLIES + [behind] * 20
+    connection = ScriptedConnection(*script)
+    for _ in range(PROVEN_AFTER_REPLIES):
+        connection.record.note_reply()
+    for _ in range(MAX_EQUAL_REPLIES):
+        await connection.ask(SET)
+    for _ in range(20):
+        assert (await connection.ask(READ)).failure is ServerFailure.BEHIND
+        assert connection.exchange.is_usable
+    assert BARRIER not in connection.sent
+
+
+async def test_acknowledgement_without_a_log_position_is_accepted():
+    connection = ScriptedConnection(acknowledged(), acknowledged(None))
+    await connection.ask(SET)
+    await connection.ask(SET)
+    assert connection.exchange.position is None
+
+
 async def test_receipt_is_remembered_for_the_connections_life():
     connection = ScriptedConnection(
         *(success(f"r{number}") for number in range(MAX_REMEMBERED_REPLIES))
