Transactions: a commit runs with the values that its session has

What callers saw: a SET between the last statement of a transaction and its COMMIT did not reach the server before the COMMIT, which then ran with the former values (PINNED). Values were restored before reads and writes only, and the soak's check left commits out.

The values are restored before the write permit is checked for the last time; if that fails, nothing was committed, and the caller is told so.

--- a/bench/platform_path_test.py
+++ b/bench/platform_path_test.py
@@ -224,6 +224,16 @@
     assert cluster.group.executed_statements[-1].values == (("tz", "a"),)
 
 
+async def test_commit_runs_with_the_values_set_since_the_latest_statement(cluster):
+    client = await cluster.connect("main-db")
+    await client.query("SET tz a")
+    await client.query("BEGIN")
+    assert not (await client.query("WRITE k one")).error
+    await client.query("SET tz b")
+    assert not (await client.query("COMMIT")).error
+    assert cluster.group.executed_commits[-1].values == (("tz", "b"),)
+
+
 async def test_value_rejected_in_a_transaction_stays_on_no_connection(cluster):
     """Other sessions' statements ran with the former value."""
     primary = cluster.group.servers[0]
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -254,8 +254,7 @@
         if _text_without_name(text) != _text_without_name(run.text):
             yield f"UNASKED: {run.request_id} ran as {run.text!r}, sent as {text!r}"
         context = attempt.contexts_by_request.get(run.request_id, EMPTY_CONTEXT)
-        # A commit reads no value, so that those set since the last statement may lack.
-        if run.text != "COMMIT" and run.values != context.values:
+        if run.values != context.values:
             yield (
                 f"PINNED: {run.request_id} ran with {run.values}, not {context.values}"
             )
--- a/bench/soak_checks_test.py
+++ b/bench/soak_checks_test.py
@@ -166,7 +166,11 @@
         },
         writes=[WRITE],
         is_transaction=True,
-        contexts_by_request={WRITE: CONTEXT, READ: Context(CONTEXT.values)},
+        contexts_by_request={
+            WRITE: CONTEXT,
+            READ: Context(CONTEXT.values),
+            COMMIT: Context(CONTEXT.values),
+        },
         answers={READ: (f"s.{READ}", ("one",))},
         write_answers={WRITE: (f"s.{WRITE}", ()), COMMIT: (f"s.{COMMIT}", ())},
     )
--- a/bench/soak_sessions.py
+++ b/bench/soak_sessions.py
@@ -178,7 +178,8 @@
             return answer
         if generator.random() < ROLLBACK_PROBABILITY:
             return await self._soak.roll_back(self._client, attempt)
-        return await self._soak.send(self._client, attempt, "COMMIT")
+        context = Context(tuple(sorted(self._values.items())))
+        return await self._soak.send(self._client, attempt, "COMMIT", context)
 
     async def _send_statement(self, attempt: Attempt, is_read_only: bool) -> LineAnswer:
         generator = self._generator
--- a/pollencleat/engine/transactions.py
+++ b/pollencleat/engine/transactions.py
@@ -97,9 +97,16 @@
         self, transaction: OpenTransaction, statement: Commit
     ) -> Answer:
         term = transaction.term
+        lease = transaction.lease
+        try:
+            # The caller may have set a value since the latest statement.
+            await self._steps.restore_session(lease, None)
+        except (BackendError, TimeoutError) as error:
+            raise TransactionLostError(
+                f"commit not sent: {describe_error(error)}"
+            ) from error
         if transaction.has_written and not self._access.is_still_writable(term):
             raise TransactionLostError("the write permit lapsed before the commit")
-        lease = transaction.lease
         limit_s = transaction.route.statement_limit_ms / 1000
         sent_at_s = self._access.clock()
         self._steps.trace.may_persist = transaction.has_written
