--- a/pollencleat/engine/exchange_test.py
+++ b/pollencleat/engine/exchange_test.py
@@ -276,10 +276,12 @@
 
 
 async def test_acknowledgement_without_a_log_position_is_accepted():
-    connection = ScriptedConnection(acknowledged(), acknowledged(None))
+    nowhere = acknowledged(None)
+    connection = ScriptedConnection(acknowledged(), acknowledged(), nowhere, nowhere)
     await connection.ask(SET)
     await connection.ask(SET)
-    assert connection.exchange.position is None
+    await connection.exchange.settle()
+    assert connection.exchange.position == AT_3
 
 
 async def test_receipt_is_remembered_for_the_connections_life():
--- a/pollencleat/web/client_test.py
+++ b/pollencleat/web/client_test.py
@@ -218,7 +218,7 @@
     [
         ("/a HTTP/1.1\r\nHost: b\r\n\r\nGET /b", {}),
         ("/a\n", {}),
-        ("/a", {"Duty-Holder": "n\r\n\r\nGET /b HTTP/1.1"}),
+        ("/a", {"X-Node": "n\r\n\r\nGET /b HTTP/1.1"}),
         ("/a", {"Duty\nHolder": "n"}),
     ],
 )
